Lay out the project: shared types, wire codec, policy interface, checks

Cause: an empty repository; parallel work needs fixed seams first. Change: names, records, effects, CBOR codec with typed messages, the dispatch policy protocol and registry, both HTTP interfaces on one page, formatter, linter, types, import contracts and tests behind one command.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, stand-in endpoints and measurements."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, model-checked."""
--- /dev/null
+++ b/src/cuminstack/__init__.py
@@ -0,0 +1,1 @@
+"""A dispatcher for sub-second tasks, and its coordination parts."""
--- /dev/null
+++ b/src/cuminstack/core/__init__.py
@@ -0,0 +1,43 @@
+"""Names, records and effects that every part shares."""
+
+from cuminstack.core._effects import Send, StartTask, StopTasks
+from cuminstack.core._names import (
+    WILDCARD,
+    EndpointId,
+    InstanceId,
+    JobId,
+    JobKey,
+    MemberName,
+    ServiceName,
+    ServiceRef,
+    TaskId,
+    ZoneName,
+    is_name,
+)
+from cuminstack.core._records import (
+    EndpointRecord,
+    EndpointState,
+    Instance,
+    Needs,
+)
+
+__all__ = (
+    'WILDCARD',
+    'EndpointId',
+    'EndpointRecord',
+    'EndpointState',
+    'Instance',
+    'InstanceId',
+    'JobId',
+    'JobKey',
+    'MemberName',
+    'Needs',
+    'Send',
+    'ServiceName',
+    'ServiceRef',
+    'StartTask',
+    'StopTasks',
+    'TaskId',
+    'ZoneName',
+    'is_name',
+)
--- /dev/null
+++ b/src/cuminstack/wire/__init__.py
@@ -0,0 +1,27 @@
+"""Peer messages: a registry of kinds, and their encoding."""
+
+from cuminstack.wire._codec import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    BadFrame,
+    MalformedFrame,
+    UnknownKind,
+    UnknownVersion,
+    decode,
+    encode,
+    kind_of,
+    message,
+)
+
+__all__ = (
+    'MAX_FRAME_BYTES',
+    'PROTOCOL_VERSION',
+    'BadFrame',
+    'MalformedFrame',
+    'UnknownKind',
+    'UnknownVersion',
+    'decode',
+    'encode',
+    'kind_of',
+    'message',
+)
--- /dev/null
+++ b/src/cuminstack/wire/_codec.py
@@ -0,0 +1,103 @@
+"""Typed peer messages as CBOR frames.
+
+A frame is the CBOR array `[version, kind, body]`.  Kinds are registered by
+the `message` decorator on frozen dataclasses; bodies are checked against the
+field types before a message is built.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+import cbor2
+import msgspec
+
+#: Version of the frame layout and of all bodies.
+PROTOCOL_VERSION: Final = 1
+
+#: Largest frame that is decoded, in bytes.
+MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
+
+_FRAME_PARTS: Final = 3
+
+_Message = TypeVar('_Message')
+_kinds: dict[str, type[Any]] = {}
+_names: dict[type[Any], str] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class BadFrame(Exception):
+    """A frame that can't be read; the link it came on must be closed."""
+
+    reason: str
+
+
+class UnknownVersion(BadFrame):
+    """The frame is of another protocol version."""
+
+
+class UnknownKind(BadFrame):
+    """No message of this kind is registered."""
+
+
+class MalformedFrame(BadFrame):
+    """The bytes are no frame, or the body doesn't fit its kind."""
+
+
+def message(kind: str) -> Callable[[type[_Message]], type[_Message]]:
+    """Register a frozen dataclass as the body of a kind of frame.
+
+    Raises:
+        ValueError: The kind is taken.
+    """
+
+    def decorator(cls: type[_Message]) -> type[_Message]:
+        if kind in _kinds:
+            raise ValueError(kind)
+        _kinds[kind] = cls
+        _names[cls] = kind
+        return cls
+
+    return decorator
+
+
+def kind_of(body: object) -> str:
+    """Give the registered kind of a message."""
+    return _names[type(body)]
+
+
+def encode(body: object) -> bytes:
+    """Encode a registered message as one frame."""
+    plain = msgspec.to_builtins(body, builtin_types=(bytes,))
+    return cbor2.dumps([PROTOCOL_VERSION, kind_of(body), plain])
+
+
+def decode(frame: bytes) -> Any:
+    """Decode one frame to its message.
+
+    Raises:
+        BadFrame: The frame is too large, malformed, of an unknown kind or
+            of another version.
+    """
+    version, kind, body = _split(frame)
+    if version != PROTOCOL_VERSION:
+        raise UnknownVersion(f'version {version!r}')
+    body_type = _kinds.get(kind) if isinstance(kind, str) else None
+    if body_type is None:
+        raise UnknownKind(f'kind {kind!r}')
+    try:
+        return msgspec.convert(body, body_type, builtin_types=(bytes,))
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise MalformedFrame(f'{kind}: {error}') from error
+
+
+def _split(frame: bytes) -> list[Any]:
+    if len(frame) > MAX_FRAME_BYTES:
+        raise MalformedFrame(f'{len(frame)} bytes')
+    try:
+        parts = cbor2.loads(frame)
+    except (cbor2.CBORError, ValueError, RecursionError) as error:
+        raise MalformedFrame(str(error)) from error
+    if not isinstance(parts, list) or len(parts) != _FRAME_PARTS:
+        raise MalformedFrame('not [version, kind, body]')
+    return parts
