--- a/src/cuminstack/core/__init__.py
+++ b/src/cuminstack/core/__init__.py
@@ -20,6 +20,7 @@
     Instance,
     Needs,
 )
+from cuminstack.core._rendezvous import rendezvous_order, rendezvous_score
 
 __all__ = (
     'WILDCARD',
@@ -40,4 +41,6 @@
     'TaskId',
     'ZoneName',
     'is_name',
+    'rendezvous_order',
+    'rendezvous_score',
 )
