Jobs, endpoint tables and the desks between them

Cause: the path from a job to its starts needs its deciding parts first. Change: life of a job (at most one start a task, refused only if nothing may have run), outcomes kept within bounds, announcements with leases and deltas, a router of messages and effects, desks for dispatch, endpoints and intake.

--- /dev/null
+++ b/src/cuminstack/jobs/__init__.py
@@ -0,0 +1,64 @@
+"""The life of a job and of its tasks: each starts at most once."""
+
+from cuminstack.jobs._book import JobBook, Strays
+from cuminstack.jobs._job import Job, TaskState
+from cuminstack.jobs._messages import (
+    AskJob,
+    CancelJob,
+    ForwardJob,
+    JobOutcome,
+    JobRunning,
+    JobUnknown,
+)
+from cuminstack.jobs._outcomes import KeptOutcome, OutcomeStore
+from cuminstack.jobs._types import (
+    Complete,
+    Failed,
+    FailureReason,
+    FreeSlot,
+    JobEffect,
+    JobEffects,
+    JobEnded,
+    JobRequest,
+    Outcome,
+    Queue,
+    RefusalReason,
+    Refused,
+    SendStart,
+    StartEnd,
+    StopStarted,
+    TaskSpec,
+    Withdraw,
+)
+
+__all__ = (
+    'AskJob',
+    'CancelJob',
+    'ForwardJob',
+    'JobOutcome',
+    'JobRunning',
+    'JobUnknown',
+    'Complete',
+    'Failed',
+    'FailureReason',
+    'FreeSlot',
+    'Job',
+    'JobBook',
+    'JobEffect',
+    'JobEffects',
+    'JobEnded',
+    'JobRequest',
+    'KeptOutcome',
+    'Outcome',
+    'OutcomeStore',
+    'Queue',
+    'Refused',
+    'RefusalReason',
+    'SendStart',
+    'StartEnd',
+    'StopStarted',
+    'Strays',
+    'TaskSpec',
+    'TaskState',
+    'Withdraw',
+)
--- /dev/null
+++ b/src/cuminstack/node/_dispatch.py
@@ -0,0 +1,79 @@
+"""Between the jobs accepted here and the dispatch policy."""
+
+from cuminstack.core import EndpointId, StartTask, TaskId
+from cuminstack.endpoints import EndpointChanged, EndpointGone
+from cuminstack.jobs import (
+    FreeSlot,
+    JobBook,
+    Queue,
+    StartEnd,
+    Withdraw,
+)
+from cuminstack.node._routing import Effects, on_effect
+from cuminstack.slots import Policy
+
+#: Run time after which an attempt without any estimate is asked after.
+_FIRST_EXPECTED_SECONDS = 2.0
+
+
+class DispatchDesk:
+    """Starts queued tasks where the policy says, and frees their slots."""
+
+    def __init__(self, book: JobBook, policy: Policy) -> None:
+        self._book = book
+        self._policy = policy
+
+    def finish(
+        self,
+        task: TaskId,
+        endpoint: EndpointId,
+        end: StartEnd,
+        *,
+        answer: bytes = b'',
+        now: float,
+    ) -> Effects:
+        """Take the end of an attempt."""
+        return self._book.finish(task, endpoint, end, answer=answer, now=now)
+
+    def tick(self, *, now: float) -> Effects:
+        """End late jobs, and let the policy do what is due."""
+        return (*self._book.tick(now=now), *self._policy.tick(now=now))
+
+    @on_effect(Queue)
+    def _queue(self, effect: Queue, *, now: float) -> Effects:
+        return self._policy.submit(effect.tasks, now=now)
+
+    @on_effect(Withdraw)
+    def _withdraw(self, effect: Withdraw, *, now: float) -> Effects:
+        return self._policy.withdraw(effect.tasks, now=now)
+
+    @on_effect(StartTask)
+    def _start(self, effect: StartTask, *, now: float) -> Effects:
+        return self._book.start(
+            effect.task,
+            effect.endpoint,
+            expected=_FIRST_EXPECTED_SECONDS,
+            now=now,
+        )
+
+    @on_effect(FreeSlot)
+    def _free(self, effect: FreeSlot, *, now: float) -> Effects:
+        return self._policy.finished(
+            effect.task,
+            effect.endpoint,
+            started=effect.started,
+            now=now,
+        )
+
+    @on_effect(EndpointChanged)
+    def _endpoint_changed(
+        self,
+        effect: EndpointChanged,
+        *,
+        now: float,
+    ) -> Effects:
+        return self._policy.observe_endpoint(effect.record, now=now)
+
+    @on_effect(EndpointGone)
+    def _endpoint_gone(self, effect: EndpointGone, *, now: float) -> Effects:
+        return self._policy.forget_endpoint(effect.endpoint, now=now)
--- /dev/null
+++ b/src/cuminstack/node/_intake.py
@@ -0,0 +1,326 @@
+"""From a submission to a job in progress, here or at another instance."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.core import Instance, InstanceId, JobId, Send
+from cuminstack.jobs import (
+    AskJob,
+    CancelJob,
+    Failed,
+    FailureReason,
+    ForwardJob,
+    JobBook,
+    JobEnded,
+    JobOutcome,
+    JobRequest,
+    JobRunning,
+    JobUnknown,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from cuminstack.node._gate import Gate
+from cuminstack.node._routing import Effects, on_effect, on_message
+
+#: Seconds between two tries to reach the instance that accepted a job.
+_FORWARD_INTERVAL_SECONDS: Final = 1.0
+
+#: Seconds after which a retry at a restarted deployment can help.
+_RETRY_AFTER_SECONDS: Final = 1.0
+
+_CONFLICT: Final = Refused(RefusalReason.key_conflict)
+_SHUTTING_DOWN: Final = Refused(
+    RefusalReason.shutting_down,
+    retry_after=_RETRY_AFTER_SECONDS,
+)
+_HOLDER_GONE: Final = Failed(FailureReason.holder_gone)
+
+
+@dataclass(frozen=True, slots=True)
+class TakeClaim:
+    """Take the claim on a job before its first start."""
+
+    request: JobRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTaken:
+    """This instance alone may run the job."""
+
+    request: JobRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimHeld:
+    """Another instance accepted the job, or an earlier process of this one.
+
+    Args:
+        request: The submission that came here.
+        holder: The instance that the claim names.
+        incarnation: Of the holder when it took the claim.
+        digest: Of the submission that the claim was taken for.
+        gone: Whether that process can no longer answer for the job.
+    """
+
+    request: JobRequest
+    holder: InstanceId
+    incarnation: int
+    digest: bytes
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnavailable:
+    """No majority of the claim's replicas answered in time."""
+
+    request: JobRequest
+
+
+@dataclass(slots=True)
+class _Forwarded:
+    request: JobRequest
+    holder: InstanceId
+    incarnation: int
+    sent_at: float
+
+
+class IntakeDesk:
+    """Admits submissions, and brings resends to the instance that has them.
+
+    Args:
+        own: This instance.
+        book: The jobs in progress here.
+        gate: What a submission must pass.
+    """
+
+    def __init__(self, own: Instance, book: JobBook, gate: Gate) -> None:
+        self._own = own
+        self._book = book
+        self._gate = gate
+        self._claiming: dict[JobId, JobRequest] = {}
+        self._forwarded: dict[JobId, _Forwarded] = {}
+        self._waiting_peers: dict[JobId, set[InstanceId]] = {}
+        self._accepting = True
+
+    @property
+    def busy(self) -> int:
+        """Jobs that are not ended: running, claiming or forwarded."""
+        return self._book.running + len(self._claiming) + len(self._forwarded)
+
+    def stop_accepting(self) -> None:
+        """Refuse new jobs from now on; resends still find theirs."""
+        self._accepting = False
+
+    def submit(
+        self,
+        request: JobRequest,
+        *,
+        now: float,
+    ) -> tuple[Outcome | None, Effects]:
+        """Take a submission.
+
+        Returns:
+            The outcome, if it is known at once, else none: then a
+            `JobEnded` of the job follows.
+        """
+        known = self._known(request)
+        if known is not None:
+            return known
+        refusal = self._refusal(request, now=now)
+        if refusal is not None:
+            return refusal, ()
+        if request.minted:
+            return None, self._book.open(request, now=now)
+        self._claiming[request.job] = request
+        return None, (TakeClaim(request),)
+
+    def knows(self, job: JobId) -> bool:
+        """Tell whether a job is in progress here, or on its way."""
+        return (
+            self._book.find(job) is not None
+            or job in self._claiming
+            or job in self._forwarded
+        )
+
+    def cancel(self, job: JobId, *, now: float) -> Effects:
+        """Cancel a job, wherever it runs."""
+        forwarded = self._forwarded.get(job)
+        if forwarded is not None:
+            return (Send(forwarded.holder, CancelJob(job)),)
+        claiming = self._claiming.pop(job, None)
+        if claiming is not None:
+            cancelled = Refused(RefusalReason.cancelled)
+            return self._book.close(claiming, cancelled, now=now)
+        return self._book.cancel(job, now=now)
+
+    def holder_gone(self, holder: InstanceId, *, now: float) -> Effects:
+        """End what waits for an instance that is gone."""
+        lost = [
+            forwarded.request.job
+            for forwarded in self._forwarded.values()
+            if forwarded.holder == holder
+        ]
+        for job in lost:
+            self._forwarded.pop(job)
+        return tuple(JobEnded(ended, _HOLDER_GONE) for ended in lost)
+
+    def tick(self, *, now: float) -> Effects:
+        """Ask again where a forwarded job has not been answered."""
+        effects: list[Send] = []
+        for forwarded in self._forwarded.values():
+            if now - forwarded.sent_at >= _FORWARD_INTERVAL_SECONDS:
+                forwarded.sent_at = now
+                effects.append(_forward(forwarded))
+        return tuple(effects)
+
+    @on_effect(ClaimTaken)
+    def _claim_taken(self, effect: ClaimTaken, *, now: float) -> Effects:
+        request = self._claiming.pop(effect.request.job, None)
+        if request is None:
+            return ()
+        return self._book.open(request, now=now)
+
+    @on_effect(ClaimUnavailable)
+    def _claim_unavailable(
+        self,
+        effect: ClaimUnavailable,
+        *,
+        now: float,
+    ) -> Effects:
+        request = self._claiming.pop(effect.request.job, None)
+        if request is None:
+            return ()
+        if request.idempotent:
+            return self._book.open(request, now=now)
+        refused = Refused(
+            RefusalReason.no_majority,
+            retry_after=_RETRY_AFTER_SECONDS,
+        )
+        return (JobEnded(request.job, refused),)
+
+    @on_effect(ClaimHeld)
+    def _claim_held(self, effect: ClaimHeld, *, now: float) -> Effects:
+        request = self._claiming.pop(effect.request.job, None)
+        if request is None:
+            return ()
+        if effect.digest != request.digest:
+            return (JobEnded(request.job, _CONFLICT),)
+        if effect.gone:
+            return (JobEnded(request.job, _HOLDER_GONE),)
+        forwarded = _Forwarded(
+            request,
+            effect.holder,
+            effect.incarnation,
+            now,
+        )
+        self._forwarded[request.job] = forwarded
+        return (_forward(forwarded),)
+
+    @on_message(ForwardJob)
+    def _receive_forward(
+        self,
+        sender: InstanceId,
+        message: ForwardJob,
+        *,
+        now: float,
+    ) -> Effects:
+        job = message.request.job
+        if message.incarnation != self._own.incarnation:
+            return (Send(sender, JobOutcome.of(job, _HOLDER_GONE)),)
+        outcome, effects = self.submit(message.request, now=now)
+        if outcome is not None:
+            return (Send(sender, JobOutcome.of(job, outcome)),)
+        self._waiting_peers.setdefault(job, set()).add(sender)
+        return effects
+
+    @on_message(JobOutcome)
+    def _receive_outcome(
+        self,
+        sender: InstanceId,
+        message: JobOutcome,
+        *,
+        now: float,
+    ) -> Effects:
+        forwarded = self._forwarded.get(message.job)
+        outcome = message.outcome
+        if forwarded is None or outcome is None:
+            return ()
+        if forwarded.holder != sender:
+            return ()
+        self._forwarded.pop(message.job)
+        return (JobEnded(message.job, outcome),)
+
+    @on_message(CancelJob)
+    def _receive_cancel(
+        self,
+        sender: InstanceId,
+        message: CancelJob,
+        *,
+        now: float,
+    ) -> Effects:
+        return self.cancel(message.job, now=now)
+
+    @on_message(AskJob)
+    def _receive_ask(
+        self,
+        sender: InstanceId,
+        message: AskJob,
+        *,
+        now: float,
+    ) -> Effects:
+        kept = self._book.ended(message.job)
+        if kept is not None:
+            return (Send(sender, JobOutcome.of(message.job, kept.outcome)),)
+        if self.knows(message.job):
+            return (Send(sender, JobRunning(message.job)),)
+        return (Send(sender, JobUnknown(message.job)),)
+
+    def tell_peers(self, ended: JobEnded) -> Effects:
+        """Send an outcome to the instances that forwarded the job here."""
+        peers = self._waiting_peers.pop(ended.job, set())
+        message = JobOutcome.of(ended.job, ended.outcome)
+        return tuple(Send(peer, message) for peer in sorted(peers))
+
+    def _known(
+        self,
+        request: JobRequest,
+    ) -> tuple[Outcome | None, Effects] | None:
+        digest = self._digest_of(request.job)
+        if digest is not None:
+            same = digest == request.digest
+            return (None if same else _CONFLICT), ()
+        kept = self._book.ended(request.job)
+        if kept is None or _may_run_again(kept.outcome):
+            return None
+        if kept.digest != request.digest:
+            return _CONFLICT, ()
+        return kept.outcome, ()
+
+    def _digest_of(self, job: JobId) -> bytes | None:
+        running = self._book.find(job)
+        if running is not None:
+            return running.request.digest
+        claiming = self._claiming.get(job)
+        if claiming is not None:
+            return claiming.digest
+        forwarded = self._forwarded.get(job)
+        return None if forwarded is None else forwarded.request.digest
+
+    def _refusal(self, request: JobRequest, *, now: float) -> Refused | None:
+        if not self._accepting:
+            return _SHUTTING_DOWN
+        return self._gate.check(request, now=now)
+
+
+def _forward(forwarded: _Forwarded) -> Send:
+    message = ForwardJob(forwarded.request, forwarded.incarnation)
+    return Send(forwarded.holder, message)
+
+
+def _may_run_again(outcome: Outcome) -> bool:
+    """A refused job was not run, so its key is free, unless cancelled."""
+    return (
+        isinstance(outcome, Refused)
+        and outcome.reason is not RefusalReason.cancelled
+    )
