Read settings from one INI file, checked whole

Cause: an instance must know its addresses, zone and bounds before it starts, and an operator must see every fault of a file at once.

Change: typed frozen sections with defaults, units in key names and ranges; faults are types with section, key, expected and got, and a near name for unknown ones. Contradictions between values are checked once each value alone is right.

--- /dev/null
+++ b/src/cuminstack/settings/__init__.py
@@ -0,0 +1,48 @@
+"""Settings of an instance: an INI file, checked whole before it is used."""
+
+from cuminstack.settings._faults import (
+    BadValue,
+    Inconsistent,
+    MissingKey,
+    SettingsFault,
+    SettingsFaults,
+    UnknownKey,
+    UnknownSection,
+    UnreadableFile,
+)
+from cuminstack.settings._load import load_settings, parse_settings
+from cuminstack.settings._model import (
+    DispatchSettings,
+    InstanceSettings,
+    LimitSettings,
+    ListenSettings,
+    LogLevel,
+    LogSettings,
+    PeerSettings,
+    Settings,
+    TimeoutSettings,
+)
+from cuminstack.settings._values import Address
+
+__all__ = (
+    'Address',
+    'BadValue',
+    'DispatchSettings',
+    'Inconsistent',
+    'InstanceSettings',
+    'LimitSettings',
+    'ListenSettings',
+    'LogLevel',
+    'LogSettings',
+    'MissingKey',
+    'PeerSettings',
+    'Settings',
+    'SettingsFault',
+    'SettingsFaults',
+    'TimeoutSettings',
+    'UnknownKey',
+    'UnknownSection',
+    'UnreadableFile',
+    'load_settings',
+    'parse_settings',
+)
