--- /dev/null
+++ b/src/cuminstack/slots/_chance.py
@@ -0,0 +1,29 @@
+"""A small seeded generator, so that a policy's choices can be replayed."""
+
+from typing import Final
+
+_MASK: Final = 0xFFFFFFFFFFFFFFFF
+_STEP: Final = 0x9E3779B97F4A7C15
+_FIRST_FACTOR: Final = 0xBF58476D1CE4E5B9
+_SECOND_FACTOR: Final = 0x94D049BB133111EB
+_FIRST_SHIFT: Final = 30
+_SECOND_SHIFT: Final = 27
+_LAST_SHIFT: Final = 31
+
+
+class Chance:
+    """The SplitMix64 generator."""
+
+    def __init__(self, seed: int) -> None:
+        self._state = seed & _MASK
+
+    def below(self, bound: int) -> int:
+        """Give a number from 0 to below a bound."""
+        return self._next() % bound
+
+    def _next(self) -> int:
+        self._state = (self._state + _STEP) & _MASK
+        mixed = self._state
+        mixed = ((mixed ^ (mixed >> _FIRST_SHIFT)) * _FIRST_FACTOR) & _MASK
+        mixed = ((mixed ^ (mixed >> _SECOND_SHIFT)) * _SECOND_FACTOR) & _MASK
+        return mixed ^ (mixed >> _LAST_SHIFT)
