--- /dev/null
+++ b/src/cuminstack/daemon/_application.py
@@ -0,0 +1,193 @@
+"""The application object: owns every part, opens and closes them in order."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from contextlib import AsyncExitStack, suppress
+from typing import Any, Final
+
+from aiohttp import web
+
+from cuminstack.core import Instance
+from cuminstack.daemon._callers import CallerInterface
+from cuminstack.daemon._driver import Driver
+from cuminstack.daemon._endpoints import EndpointInterface
+from cuminstack.daemon._links import Hello, PeerLink, PeerListener
+from cuminstack.daemon._sender import TaskSender
+from cuminstack.node import Node, NodeOptions
+from cuminstack.settings import Address, Settings
+from cuminstack.slots import make_policy
+
+Hook = Callable[[], Awaitable[None]]
+
+_MILLISECONDS: Final = 1000
+_NANOSECONDS: Final = 1_000_000
+
+#: Connections to one endpoint at most, where no lease says less.
+_CONNECTIONS_PER_ENDPOINT: Final = 8
+
+#: Pause between two looks at whether the last job has ended, in seconds.
+_DRAIN_LOOK_SECONDS: Final = 0.02
+
+
+class Application:
+    """One instance of the daemon.
+
+    Args:
+        settings: What it was told.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._stack = AsyncExitStack()
+        self._stopping = asyncio.Event()
+        self._on_ready: list[Hook] = []
+        self._on_drain: list[Hook] = []
+
+    def on_ready(self, hook: Hook) -> None:
+        """Call a hook once all listeners are open."""
+        self._on_ready.append(hook)
+
+    def on_drain(self, hook: Hook) -> None:
+        """Call a hook when a shutdown begins."""
+        self._on_drain.append(hook)
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Run until a shutdown has ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        async with self._stack:
+            driver = await self._open()
+            await _call(self._on_ready)
+            await self._stopping.wait()
+            await _call(self._on_drain)
+            await self._drain(driver)
+
+    async def _open(self) -> Driver:
+        node = self._make_node()
+        driver = Driver(
+            node,
+            tick_seconds=self._settings.timeouts.tick_ms / _MILLISECONDS,
+        )
+        await self._open_sender(driver)
+        await self._open_peers(driver)
+        await self._open_interfaces(driver)
+        self._background(driver.run())
+        return driver
+
+    def _make_node(self) -> Node:
+        settings = self._settings
+        own = make_instance(settings)
+        policy = make_policy(
+            settings.dispatch.policy,
+            own,
+            seed=settings.dispatch.seed,
+        )
+        lease = settings.timeouts.endpoint_lease_ms / _MILLISECONDS
+        options = NodeOptions(
+            endpoint_lease=lease,
+            max_running_jobs=settings.limits.max_running_jobs,
+            outcome_lifetime=settings.limits.outcome_lifetime_seconds,
+        )
+        return Node(own, policy=policy, options=options)
+
+    async def _open_sender(self, driver: Driver) -> None:
+        sender = TaskSender(
+            driver.finished,
+            timeouts=self._settings.timeouts,
+            max_answer_bytes=self._settings.limits.max_answer_bytes,
+            connections=_CONNECTIONS_PER_ENDPOINT,
+        )
+        await sender.open()
+        self._stack.push_async_callback(sender.close)
+        own = driver.node.own
+        hello = Hello(own.instance, own.incarnation)
+        pause = self._settings.timeouts.link_retry_ms / _MILLISECONDS
+        links = {
+            peer.name: PeerLink(peer.peer_address, hello, longest_pause=pause)
+            for peer in self._settings.other_peers
+        }
+        for link in links.values():
+            self._background(link.run())
+        driver.connect(sender, links)
+
+    async def _open_peers(self, driver: Driver) -> None:
+        if self._settings.is_embedded:
+            return
+        listener = PeerListener(
+            frozenset(peer.name for peer in self._settings.other_peers),
+            receive=driver.receive,
+            reject=lambda _sender, _error: None,
+        )
+        await listener.start(self._settings.listen.peers)
+        self._stack.push_async_callback(listener.stop)
+
+    async def _open_interfaces(self, driver: Driver) -> None:
+        endpoints = EndpointInterface(
+            driver,
+            limits=self._settings.limits,
+            timeouts=self._settings.timeouts,
+        )
+        callers = CallerInterface(driver, self._settings.limits)
+
+        async def stop_accepting() -> None:
+            endpoints.stop_accepting()
+            driver.node.stop_accepting()
+
+        self.on_drain(stop_accepting)
+        listen = self._settings.listen
+        await self._serve(endpoints.application(), listen.endpoints)
+        await self._serve(callers.application(), listen.callers)
+
+    async def _serve(
+        self,
+        application: web.Application,
+        address: Address,
+    ) -> None:
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, address.host, address.port)
+        await site.start()
+
+    async def _drain(self, driver: Driver) -> None:
+        """Let the jobs in progress end, for as long as the settings say."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.limits.drain_seconds):
+                while driver.node.busy:
+                    await asyncio.sleep(_DRAIN_LOOK_SECONDS)
+        # Outcomes that just came in still have to be written out.
+        await asyncio.sleep(_DRAIN_LOOK_SECONDS)
+
+    def _background(self, work: Coroutine[Any, Any, None]) -> None:
+        running = asyncio.ensure_future(work)
+        self._stack.push_async_callback(_cancel, running)
+
+
+def make_instance(settings: Settings) -> Instance:
+    """Describe this instance as its peers will know it."""
+    return Instance(
+        instance=settings.instance.name,
+        zone=settings.instance.zone,
+        incarnation=time.time_ns() // _NANOSECONDS,
+        peer_address=str(settings.listen.peers),
+        endpoint_address=str(settings.listen.endpoints),
+        replica=settings.is_replica,
+    )
+
+
+async def _call(hooks: Iterable[Hook]) -> None:
+    for hook in hooks:
+        await hook()
+
+
+async def _cancel(running: 'asyncio.Future[None]') -> None:
+    running.cancel()
+    with suppress(asyncio.CancelledError):
+        await running
--- /dev/null
+++ b/src/cuminstack/daemon/_callers.py
@@ -0,0 +1,103 @@
+"""The HTTP interface for callers."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import web
+
+from cuminstack.core import (
+    JobId,
+    JobKey,
+    MemberName,
+    ServiceName,
+    ServiceRef,
+    is_name,
+)
+from cuminstack.daemon._bodies import read_job
+from cuminstack.daemon._driver import Driver
+from cuminstack.daemon._middleware import errors_as_problems
+from cuminstack.daemon._problems import (
+    KEY_HEADER,
+    BadRequest,
+    json_response,
+    outcome_response,
+)
+from cuminstack.daemon._shapes import JobStateBody
+from cuminstack.settings import LimitSettings
+
+_JOB_PATH: Final = '/v1/members/{member}/jobs/{key}'
+
+
+class CallerInterface:
+    """Takes jobs of callers, and holds each to its outcome.
+
+    Args:
+        driver: Runs the node.
+        limits: Bounds on what a caller may send.
+    """
+
+    def __init__(self, driver: Driver, limits: LimitSettings) -> None:
+        self._driver = driver
+        self._limits = limits
+
+    def application(self) -> web.Application:
+        """Build the routes."""
+        application = web.Application(
+            client_max_size=self._limits.max_body_bytes,
+            middlewares=[errors_as_problems],
+        )
+        application.router.add_post(
+            '/v1/members/{member}/services/{service}/jobs',
+            self._submit,
+        )
+        application.router.add_get(_JOB_PATH, self._get)
+        application.router.add_delete(_JOB_PATH, self._cancel)
+        return application
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        service = ServiceRef(
+            MemberName(request.match_info['member']),
+            ServiceName(request.match_info['service']),
+        )
+        raw = await request.read()
+        job = read_job(
+            raw,
+            service=service,
+            key=request.headers.get(KEY_HEADER),
+            own=self._driver.node.own.instance,
+            limits=self._limits,
+        )
+        outcome = await self._driver.submit(job)
+        return outcome_response(job.job, outcome)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        job = _job_of(request)
+        kept = self._driver.node.ended(job)
+        if kept is not None:
+            return outcome_response(job, kept.outcome)
+        if self._driver.node.knows(job):
+            running = JobStateBody(key=job.key, outcome='running')
+            return json_response(running, HTTPStatus.ACCEPTED)
+        raise BadRequest(HTTPStatus.NOT_FOUND, 'unknown-job')
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        job = _job_of(request)
+        if not self._driver.node.knows(job):
+            return await self._get(request)
+        waiter = self._driver.attach(job)
+        self._driver.cancel(job)
+        return outcome_response(job, await asyncio.shield(waiter))
+
+
+def _job_of(request: web.Request) -> JobId:
+    member = request.match_info['member']
+    key = request.match_info['key']
+    for place, text in (('member', member), ('key', key)):
+        if not is_name(text):
+            raise BadRequest(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                'invalid-field',
+                field=place,
+            )
+    return JobId(MemberName(member), JobKey(key))
--- /dev/null
+++ b/src/cuminstack/daemon/_driver.py
@@ -0,0 +1,169 @@
+"""Runs the node: feeds it events, performs its effects, keeps its time."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from cuminstack import wire
+from cuminstack.core import EndpointRecord, InstanceId, JobId, Send, TaskId
+from cuminstack.daemon._links import PeerLink
+from cuminstack.daemon._sender import AttemptEnd, TaskSender
+from cuminstack.jobs import (
+    JobEnded,
+    JobRequest,
+    Outcome,
+    SendStart,
+    StartEnd,
+    StopStarted,
+)
+from cuminstack.node import AnnounceReply, Effects, Node, UnroutedMessage
+
+_MILLISECONDS: Final = 1000
+
+_Method = TypeVar('_Method', bound=Callable[..., None])
+_performers: dict[type[Any], str] = {}
+
+
+def _performs(effect: type[Any]) -> Callable[[_Method], _Method]:
+    def decorator(method: _Method) -> _Method:
+        _performers[effect] = method.__name__
+        return method
+
+    return decorator
+
+
+class Driver:
+    """The only place where the node meets the clock and the network.
+
+    Args:
+        node: The deciding parts.
+        tick_seconds: Pause between two looks at what is due.
+    """
+
+    def __init__(self, node: Node, *, tick_seconds: float) -> None:
+        self._node = node
+        self._tick_seconds = tick_seconds
+        self._loop = asyncio.get_running_loop()
+        self._links: dict[InstanceId, PeerLink] = {}
+        self._sender: TaskSender | None = None
+        self._waiting: dict[JobId, list[asyncio.Future[Outcome]]]
+        self._waiting = defaultdict(list)
+        self._lag = float(0)
+
+    @property
+    def node(self) -> Node:
+        """The deciding parts."""
+        return self._node
+
+    @property
+    def now(self) -> float:
+        """Present time: seconds of the loop's monotonic clock."""
+        return self._loop.time()
+
+    @property
+    def lag(self) -> float:
+        """How late the last tick was, in seconds."""
+        return self._lag
+
+    def connect(
+        self,
+        sender: TaskSender,
+        links: dict[InstanceId, PeerLink],
+    ) -> None:
+        """Take what effects are performed with."""
+        self._sender = sender
+        self._links = links
+
+    def submit(self, request: JobRequest) -> asyncio.Future[Outcome]:
+        """Submit a job; the future gives its outcome."""
+        waiter: asyncio.Future[Outcome] = self._loop.create_future()
+        self._waiting[request.job].append(waiter)
+        outcome, effects = self._node.submit(request, now=self.now)
+        if outcome is not None:
+            self._waiting[request.job].remove(waiter)
+            waiter.set_result(outcome)
+        self.perform(effects)
+        return waiter
+
+    def attach(self, job: JobId) -> asyncio.Future[Outcome]:
+        """Wait for a job that the node knows."""
+        waiter: asyncio.Future[Outcome] = self._loop.create_future()
+        self._waiting[job].append(waiter)
+        return waiter
+
+    def cancel(self, job: JobId) -> None:
+        """Cancel a job."""
+        self.perform(self._node.cancel(job, now=self.now))
+
+    def announce(self, record: EndpointRecord) -> AnnounceReply:
+        """Take an announcement."""
+        reply, effects = self._node.announce(record, now=self.now)
+        self.perform(effects)
+        return reply
+
+    def receive(self, sender: InstanceId, message: Any) -> None:
+        """Take a message of a peer.
+
+        Raises:
+            wire.UnknownKind: The node has no use for it.
+        """
+        try:
+            effects = self._node.receive(sender, message, now=self.now)
+        except UnroutedMessage as error:
+            raise wire.UnknownKind(str(error)) from error
+        self.perform(effects)
+
+    def finished(self, sent: SendStart, ended: AttemptEnd) -> None:
+        """Take the end of an attempt."""
+        effects = self._node.finish(
+            sent.task,
+            ended.end,
+            sent=sent,
+            answer=ended.answer,
+            now=self.now,
+        )
+        self.perform(effects)
+
+    def perform(self, effects: Effects) -> None:
+        """Perform the node's outward effects."""
+        for effect in effects:
+            getattr(self, _performers[type(effect)])(effect)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        due = self.now
+        while True:
+            due = max(due + self._tick_seconds, self.now)
+            await asyncio.sleep(due - self.now)
+            self._lag = max(self.now - due, 0)
+            self.perform(self._node.tick(now=self.now))
+
+    @_performs(Send)
+    def _send(self, effect: Send) -> None:
+        link = self._links.get(effect.to)
+        if link is not None:
+            link.send(wire.encode(effect.message))
+
+    @_performs(SendStart)
+    def _send_start(self, effect: SendStart) -> None:
+        record = self._node.directory.get(effect.endpoint)
+        if record is None or self._sender is None:
+            # Nothing was sent, so the attempt has not started.
+            ended = AttemptEnd(StartEnd.not_started)
+            self._loop.call_soon(self.finished, effect, ended)
+            return
+        self._sender.start(effect, record)
+
+    @_performs(StopStarted)
+    def _stop_started(self, effect: StopStarted) -> None:
+        record = self._node.directory.get(effect.endpoint)
+        tasks: tuple[TaskId, ...] = effect.tasks
+        if record is not None and self._sender is not None:
+            self._sender.stop(record, tasks)
+
+    @_performs(JobEnded)
+    def _job_ended(self, effect: JobEnded) -> None:
+        for waiter in self._waiting.pop(effect.job, ()):
+            if not waiter.done():
+                waiter.set_result(effect.outcome)
--- /dev/null
+++ b/src/cuminstack/daemon/_middleware.py
@@ -0,0 +1,43 @@
+"""What all HTTP interfaces have in common."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import web
+
+from cuminstack.daemon._problems import (
+    BadRequest,
+    Problem,
+    make_problem,
+    problem_response,
+)
+
+_NAMES: Final = {
+    HTTPStatus.NOT_FOUND: 'unknown-path',
+    HTTPStatus.METHOD_NOT_ALLOWED: 'method-not-allowed',
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: 'too-large',
+}
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@web.middleware
+async def errors_as_problems(
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    """Answer every error with a problem document."""
+    try:
+        return await handler(request)
+    except BadRequest as error:
+        return problem_response(error.problem)
+    except web.HTTPException as error:
+        return problem_response(_problem_of(error))
+
+
+def _problem_of(error: web.HTTPException) -> Problem:
+    status = HTTPStatus(error.status)
+    name = _NAMES.get(status, 'bad-request')
+    field = 'body' if name == 'too-large' else ''
+    return make_problem(name, status, detail=error.reason, field=field)
