--- a/bench/_behaviours.py
+++ b/bench/_behaviours.py
@@ -11,9 +11,8 @@
     MILLISECONDS,
     Mode,
     StandIn,
-    TaskRun,
-    TaskState,
 )
+from bench._tasks import TaskRun, TaskState
 
 #: Media type of a problem.
 PROBLEM_TYPE: Final = 'application/problem+json'
--- a/bench/_stand_in.py
+++ b/bench/_stand_in.py
@@ -1,13 +1,19 @@
 """What a stand-in endpoint knows: its slots, its tasks and its start log."""
 
 import asyncio
-import enum
 import time
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from bench._tasks import (
+    DuplicateTask,
+    NotStarted,
+    Refusal,
+    TaskRun,
+    TaskState,
+)
 from cuminstack.core import EndpointState, Needs, ServiceRef
 
 #: Milliseconds in a second.
@@ -57,71 +63,6 @@
     late_ms: float = 3000
 
 
-class TaskState(enum.Enum):
-    """Where a task that started has got to."""
-
-    running = 'running'
-    answered = 'answered'
-    failed = 'failed'
-
-
-class Refusal(enum.Enum):
-    """Why a task was not started."""
-
-    full = 'full'
-    leaving = 'leaving'
-    expired = 'expired'
-    mode = 'mode'
-    refused_before = 'refused-before'
-
-
-@dataclass(frozen=True, slots=True)
-class DuplicateTask(Exception):
-    """The task id was started before."""
-
-    task: str
-
-
-@dataclass(frozen=True, slots=True)
-class NotStarted(Exception):
-    """The task was refused and will never start under its id."""
-
-    task: str
-    reason: Refusal
-
-
-class TaskRun:
-    """A task that started; it runs on whatever becomes of its connection."""
-
-    def __init__(self, task: str, answer: Any) -> None:
-        self.task = task
-        self.state = TaskState.running
-        self.done: asyncio.Future[TaskState] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._answer = answer
-
-    @property
-    def description(self) -> dict[str, Any]:
-        """Give the body of the response to a question for the state."""
-        if self.state is TaskState.answered:
-            return {'state': self.state.value, 'answer': self._answer}
-        return {'state': self.state.value}
-
-    @property
-    def answer(self) -> Any:
-        """Give the answer that the task has or will have."""
-        return self._answer
-
-    def finish(self, state: TaskState) -> bool:
-        """End the run; return whether this call ended it."""
-        if self.done.done():
-            return False
-        self.state = state
-        self.done.set_result(state)
-        return True
-
-
 class StandIn:
     """The slots and the start log of one stand-in endpoint."""
 
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -27,12 +27,11 @@
 )
 from bench._stand_in import (
     MILLISECONDS,
-    DuplicateTask,
     Mode,
-    NotStarted,
     StandIn,
     StandInOptions,
 )
+from bench._tasks import DuplicateTask, NotStarted
 from cuminstack.core import MemberName, ServiceName, ServiceRef
 
 #: Largest request body, in bytes.
