--- a/bench/_behaviours.py
+++ b/bench/_behaviours.py
@@ -63,9 +63,16 @@
     )
 
 
-def problem(name: str, *, status: int, detail: str = '') -> web.Response:
-    """Give a problem of a type of this project."""
+def problem(
+    name: str,
+    *,
+    status: int,
+    detail: str = '',
+    task: str = '',
+) -> web.Response:
+    """Give a problem of this project's, about a task if one is named."""
     body = {
+        'task': task,
         'type': _PROBLEM_PREFIX + name,
         'title': name.replace('-', ' '),
         'status': status,
@@ -88,7 +95,7 @@
     """Answer when the task ends."""
     state = await run.done
     if state is TaskState.failed:
-        return problem('task-failed', status=500)
+        return problem('task-failed', status=500, task=run.task)
     return json_response({'task': run.task, 'answer': run.answer})
 
 
@@ -100,7 +107,7 @@
 ) -> web.StreamResponse:
     """Fail at once, which frees the slot for the next victim."""
     stand_in.finish(run, TaskState.failed)
-    return problem('task-failed', status=500)
+    return problem('task-failed', status=500, task=run.task)
 
 
 @behaviour('silent')
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -56,7 +56,7 @@
     def build(self) -> web.Application:
         """Give the application, ready to be served."""
         app = web.Application(client_max_size=_BODY_BYTES)
-        app.router.add_put('/v1/tasks/{task}', self._start)
+        app.router.add_post('/v1/tasks/{task}', self._start)
         app.router.add_get('/v1/tasks/{task}', self._state)
         app.router.add_delete('/v1/tasks', self._stop)
         app.router.add_get('/starts', self._starts)
@@ -75,11 +75,12 @@
 
     async def _start_now(self, request: web.Request) -> web.StreamResponse:
         received = time.monotonic()
+        task = request.match_info['task']
         self._count_connections(request)
         try:
             body = orjson.loads(await request.read())
             run = self.stand_in.start(
-                request.match_info['task'],
+                task,
                 body,
                 received=received,
                 now=time.monotonic(),
@@ -88,7 +89,12 @@
             return problem('duplicate', status=409, detail=duplicate.task)
         except NotStarted as refused:
             detail = refused.reason.value
-            return problem('not-started', status=503, detail=detail)
+            return problem(
+                'not-started',
+                status=503,
+                detail=detail,
+                task=task,
+            )
         except _BAD_BODY as error:
             return problem('bad-request', status=400, detail=repr(error))
         mode = self.stand_in.mode
--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import AsyncExitStack, suppress
 from typing import Any, Final
 
@@ -19,7 +19,7 @@
 from cuminstack.settings import Address, Settings
 from cuminstack.slots import make_policy
 
-Hook = Callable[[], Awaitable[None]]
+Hook = Callable[[], None]
 
 _MILLISECONDS: Final = 1000
 _NANOSECONDS: Final = 1_000_000
@@ -27,8 +27,8 @@
 #: Connections to one endpoint at most, where no lease says less.
 _CONNECTIONS_PER_ENDPOINT: Final = 8
 
-#: Pause between two looks at whether the last job has ended, in seconds.
-_DRAIN_LOOK_SECONDS: Final = 0.02
+#: Time that the last outcomes are given to be written out, in seconds.
+_FLUSH_SECONDS: Final = 0.05
 
 
 class Application:
@@ -64,9 +64,9 @@
             loop.add_signal_handler(number, self.stop)
         async with self._stack:
             driver = await self._open()
-            await _call(self._on_ready)
+            _call(self._on_ready)
             await self._stopping.wait()
-            await _call(self._on_drain)
+            _call(self._on_drain)
             await self._drain(driver)
 
     async def _open(self) -> Driver:
@@ -135,12 +135,8 @@
             timeouts=self._settings.timeouts,
         )
         callers = CallerInterface(driver, self._settings.limits)
-
-        async def stop_accepting() -> None:
-            endpoints.stop_accepting()
-            driver.node.stop_accepting()
-
-        self.on_drain(stop_accepting)
+        self.on_drain(endpoints.stop_accepting)
+        self.on_drain(driver.node.stop_accepting)
         listen = self._settings.listen
         await self._serve(endpoints.application(), listen.endpoints)
         await self._serve(callers.application(), listen.callers)
@@ -160,10 +156,9 @@
         """Let the jobs in progress end, for as long as the settings say."""
         with suppress(TimeoutError):
             async with asyncio.timeout(self._settings.limits.drain_seconds):
-                while driver.node.busy:
-                    await asyncio.sleep(_DRAIN_LOOK_SECONDS)
+                await driver.idle()
         # Outcomes that just came in still have to be written out.
-        await asyncio.sleep(_DRAIN_LOOK_SECONDS)
+        await asyncio.sleep(_FLUSH_SECONDS)
 
     def _background(self, work: Coroutine[Any, Any, None]) -> None:
         running = asyncio.ensure_future(work)
@@ -182,9 +177,9 @@
     )
 
 
-async def _call(hooks: Iterable[Hook]) -> None:
+def _call(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
-        await hook()
+        hook()
 
 
 async def _cancel(running: 'asyncio.Future[None]') -> None:
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -21,6 +21,7 @@
 
 _MILLISECONDS: Final = 1000
 
+_Waiters = list['asyncio.Future[Outcome]']
 _Method = TypeVar('_Method', bound=Callable[..., None])
 _performers: dict[type[Any], str] = {}
 
@@ -47,8 +48,8 @@
         self._loop = asyncio.get_running_loop()
         self._links: dict[InstanceId, PeerLink] = {}
         self._sender: TaskSender | None = None
-        self._waiting: dict[JobId, list[asyncio.Future[Outcome]]]
-        self._waiting = defaultdict(list)
+        self._waiting: defaultdict[JobId, _Waiters] = defaultdict(list)
+        self._idle = asyncio.Event()
         self._lag = float(0)
 
     @property
@@ -130,6 +131,11 @@
         for effect in effects:
             getattr(self, _performers[type(effect)])(effect)
 
+    async def idle(self) -> None:
+        """Wait until no caller waits for a job."""
+        self._idle.clear()
+        await self._idle.wait()
+
     async def run(self) -> None:
         """Tick until cancelled."""
         due = self.now
@@ -138,6 +144,8 @@
             await asyncio.sleep(due - self.now)
             self._lag = max(self.now - due, 0)
             self.perform(self._node.tick(now=self.now))
+            if not self._node.busy:
+                self._idle.set()
 
     @_performs(Send)
     def _send(self, effect: Send) -> None:
--- a/src/cuminstack/daemon/_endpoints.py
+++ b/src/cuminstack/daemon/_endpoints.py
@@ -60,8 +60,9 @@
                 'outdated-incarnation',
                 field='incarnation',
             )
+        address = reply.owner.endpoint_address
         body = AnnounceBody(
-            announce_to=f'http://{reply.owner.endpoint_address}',
+            announce_to=f'http://{address}',
             announce_in_ms=self._timeouts.announce_ms,
             lease_ms=self._timeouts.endpoint_lease_ms,
         )
--- a/src/cuminstack/daemon/_middleware.py
+++ b/src/cuminstack/daemon/_middleware.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 from aiohttp import web
@@ -13,11 +14,13 @@
     problem_response,
 )
 
-_NAMES: Final = {
-    HTTPStatus.NOT_FOUND: 'unknown-path',
-    HTTPStatus.METHOD_NOT_ALLOWED: 'method-not-allowed',
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: 'too-large',
-}
+_NAMES: Final = MappingProxyType(
+    {
+        HTTPStatus.NOT_FOUND: 'unknown-path',
+        HTTPStatus.METHOD_NOT_ALLOWED: 'method-not-allowed',
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: 'too-large',
+    }
+)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, Final
@@ -30,9 +30,14 @@
 #: Questions in a row without an answer after which an attempt is unknown.
 _MAX_UNANSWERED: Final = 3
 
+#: First pause between two questions about one attempt, in seconds.
+_FIRST_PAUSE_SECONDS: Final = 0.05
+
 #: Longest pause between two questions about one attempt, in seconds.
 _LONGEST_PAUSE_SECONDS: Final = 10.0
 
+_NO_ANSWER: Final = (aiohttp.ClientError, OSError, TimeoutError)
+
 _JSON_HEADERS: Final = MappingProxyType({'Content-Type': JSON_TYPE})
 
 
@@ -48,8 +53,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerBody:
-    """What an endpoint answers to a start."""
+    """What an endpoint answers to a start, with the task it is about."""
 
+    task: str
     answer: msgspec.Raw
 
 
@@ -58,6 +64,7 @@
     """The part of an endpoint's problem that matters here."""
 
     type: str = ''
+    task: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,11 +84,23 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
-    """How an attempt ended; `recovered` on another connection."""
+    """How an attempt ended.
+
+    Args:
+        end: Its end.
+        answer: JSON text.
+        recovered: Whether it was asked for on another connection.
+        stale: Whether the first response was that of another task.
+    """
 
     end: StartEnd
     answer: bytes = b''
     recovered: bool = False
+    stale: bool = False
+
+
+class StaleResponse(Exception):
+    """A response on a reused connection belongs to an earlier request."""
 
 
 Finished = Callable[[SendStart, AttemptEnd], None]
@@ -198,13 +217,49 @@
                 data=msgspec.json.encode(body),
                 headers=_JSON_HEADERS,
             ) as response:
-                return _judge(response.status, await self._read(response))
+                return await self._judge(sent, response)
+        except StaleResponse:
+            return await self._follow(sent, record)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             # No byte was sent.
             return AttemptEnd(StartEnd.not_started)
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except _NO_ANSWER:
             return AttemptEnd(StartEnd.unknown)
 
+    async def _judge(
+        self,
+        sent: SendStart,
+        response: aiohttp.ClientResponse,
+    ) -> AttemptEnd:
+        raw = await self._read(response)
+        try:
+            return _judge(str(sent.task), response.status, raw)
+        except StaleResponse:
+            # What else waits on this connection belongs to others too.
+            response.close()
+            raise
+
+    async def _follow(
+        self,
+        sent: SendStart,
+        record: EndpointRecord,
+    ) -> AttemptEnd:
+        """Ask for an attempt on new connections until it has ended."""
+        pause = _FIRST_PAUSE_SECONDS
+        unanswered = 0
+        while unanswered < _MAX_UNANSWERED:
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, _LONGEST_PAUSE_SECONDS)
+            try:
+                ended = await self.ask(sent, record)
+            except _NO_ANSWER:
+                unanswered += 1
+            else:
+                unanswered = 0
+                if ended is not None:
+                    return replace(ended, stale=True)
+        return AttemptEnd(StartEnd.unknown, stale=True)
+
     async def _read(self, response: aiohttp.ClientResponse) -> bytes | None:
         """Read a body; none if it is larger than an answer may be."""
         if (response.content_length or 0) > self._max_answer_bytes:
@@ -258,7 +313,7 @@
                 headers=_JSON_HEADERS,
             ) as response:
                 await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except _NO_ANSWER:
             # Stopping only saves work; the job has ended already.
             return
 
@@ -302,7 +357,7 @@
     ) -> None:
         try:
             ended = await self._sender.ask(self._sent, self._record)
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except _NO_ANSWER:
             ended = self._count_unanswered()
         else:
             self._unanswered = 0
@@ -320,30 +375,36 @@
         return AttemptEnd(StartEnd.unknown)
 
 
-def _judge(status: int, raw: bytes | None) -> AttemptEnd:
+def _judge(task: str, status: int, raw: bytes | None) -> AttemptEnd:
     if raw is None:
         return AttemptEnd(StartEnd.failed)
     if status == HTTPStatus.OK:
-        return _judge_answer(raw)
-    if status == HTTPStatus.SERVICE_UNAVAILABLE and _is_not_started(raw):
-        return AttemptEnd(StartEnd.not_started)
+        return _judge_answer(task, raw)
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return _judge_refusal(task, raw)
     return AttemptEnd(StartEnd.failed)
 
 
-def _judge_answer(raw: bytes) -> AttemptEnd:
+def _judge_answer(task: str, raw: bytes) -> AttemptEnd:
     try:
         body = _answer_decoder.decode(raw)
     except msgspec.DecodeError:
         return AttemptEnd(StartEnd.failed)
+    if body.task != task:
+        raise StaleResponse
     return AttemptEnd(StartEnd.answered, bytes(body.answer))
 
 
-def _is_not_started(raw: bytes) -> bool:
+def _judge_refusal(task: str, raw: bytes) -> AttemptEnd:
     try:
         problem = _problem_decoder.decode(raw)
     except msgspec.DecodeError:
-        return False
-    return problem.type == NOT_STARTED_TYPE
+        return AttemptEnd(StartEnd.failed)
+    if problem.type != NOT_STARTED_TYPE:
+        return AttemptEnd(StartEnd.failed)
+    if problem.task != task:
+        raise StaleResponse
+    return AttemptEnd(StartEnd.not_started)
 
 
 def _decode_state(raw: bytes | None) -> StateBody | None:
