--- /dev/null
+++ b/src/cuminstack/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Write-once claims of jobs on a majority of replicas."""
