--- /dev/null
+++ b/src/cuminstack/metrics/__init__.py
@@ -0,0 +1,47 @@
+"""Histograms for each member and service, and counts of messages."""
+
+from cuminstack.metrics._histograms import (
+    LONGEST_SECONDS,
+    RATIO_SCALE,
+    BadHistogram,
+    Summary,
+)
+from cuminstack.metrics._kinds import (
+    Direction,
+    Measure,
+    MessageKind,
+    Tally,
+    WasteCause,
+    message_kind,
+)
+from cuminstack.metrics._metrics import Metrics
+from cuminstack.metrics._snapshot import (
+    HistogramSnapshot,
+    MessageCount,
+    MetricsSnapshot,
+    TallyCount,
+    WasteCount,
+    merge_snapshots,
+    summarise,
+)
+
+__all__ = (
+    'LONGEST_SECONDS',
+    'RATIO_SCALE',
+    'BadHistogram',
+    'Direction',
+    'HistogramSnapshot',
+    'Measure',
+    'MessageCount',
+    'MessageKind',
+    'Metrics',
+    'MetricsSnapshot',
+    'Summary',
+    'Tally',
+    'TallyCount',
+    'WasteCause',
+    'WasteCount',
+    'merge_snapshots',
+    'message_kind',
+    'summarise',
+)
