--- a/bench/records.py
+++ b/bench/records.py
@@ -114,9 +114,8 @@
     for name, cost in {**recording_costs(), **logging_costs()}.items():
         print(name.ljust(_NAME_WIDTH), round(cost, 2), 'us')
     for services in _SERVICES:
-        name = f'{services} services'
         size = round(histogram_bytes(services) / services)
-        print(name.ljust(_NAME_WIDTH), size, 'bytes each')
+        print('histograms of services:', services, 'at', size, 'bytes')
 
 
 if __name__ == '__main__':
