--- a/bench/_deployed.py
+++ b/bench/_deployed.py
@@ -59,28 +59,26 @@
         name: Its name.
         zone: Its availability zone.
         url: Its base URL.
-        child: Its process.
-        http: The session to ask it by.
+        child: Its process; it may run other endpoints too.
     """
 
     name: str
     zone: str
     url: str
     child: Child
-    http: aiohttp.ClientSession
 
-    async def start_log(self) -> dict[str, Any]:
+    async def start_log(self, http: aiohttp.ClientSession) -> dict[str, Any]:
         """Read its start log."""
-        async with self.http.get(f'{self.url}/starts') as response:
+        async with http.get(f'{self.url}/starts') as response:
             log: dict[str, Any] = await response.json()
             return log
 
-    async def set_mode(self, **mode: Any) -> None:
+    async def set_mode(self, http: aiohttp.ClientSession, **mode: Any) -> None:
         """Change its behaviour; see `bench.endpoint.Mode`."""
-        async with self.http.put(f'{self.url}/mode', json=mode) as response:
+        async with http.put(f'{self.url}/mode', json=mode) as response:
             response.raise_for_status()
 
-    async def leave(self) -> None:
+    async def leave(self, http: aiohttp.ClientSession) -> None:
         """Make it leave, but not exit."""
-        async with self.http.put(f'{self.url}/leave') as response:
+        async with http.put(f'{self.url}/leave') as response:
             response.raise_for_status()
--- a/bench/_deployment_options.py
+++ b/bench/_deployment_options.py
@@ -43,6 +43,8 @@
         zones: Names of the availability zones.
         instances: Daemons in each zone.
         endpoints: Stand-in endpoints in each zone.
+        endpoint_processes: Processes that run them in each zone; 0 for one
+            each.
         slots: Slots of each endpoint.
         serves: What the endpoints serve, as `member/service,…`.
         settings: Further settings of all daemons, by section and key.
@@ -56,6 +58,7 @@
     zones: tuple[str, ...] = ('telavi',)
     instances: int = 1
     endpoints: int = 1
+    endpoint_processes: int = 0
     slots: int = 8
     serves: str = '*/*'
     settings: Mapping[str, Mapping[str, str]] = field(default_factory=dict)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -3,7 +3,7 @@
 import asyncio
 import tempfile
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import TracebackType
@@ -107,33 +107,30 @@
         await self.wait_ready(again)
         return again
 
-    async def start_endpoint(
+    async def start_endpoints(
         self,
-        name: str,
+        names: Sequence[str],
         zone: str,
         *,
         mode: Mapping[str, Any] | None = None,
-    ) -> DeployedEndpoint:
-        """Start one more stand-in endpoint."""
-        urls = [
-            entry.endpoints_url
-            for entry in self.instances
-            if entry.plan.zone == zone
-        ]
+    ) -> list[DeployedEndpoint]:
+        """Start stand-in endpoints of a zone, in one process."""
         child = await Child.spawn(
-            name,
-            self._endpoint_command(name, zone, urls, mode or {}),
+            names[0],
+            self._endpoint_command(names, zone, mode or {}),
             folder=self._folder,
             stdout=asyncio.subprocess.PIPE,
         )
         self._exit_stack.push_async_callback(child.kill)
         line = await child.read_line()
         if not line:
-            raise NotReady(name, child.log)
-        url = orjson.loads(line)['url']
-        endpoint = DeployedEndpoint(name, zone, url, child, self.http)
-        self.endpoints.append(endpoint)
-        return endpoint
+            raise NotReady(names[0], child.log)
+        started = [
+            DeployedEndpoint(name, zone, url, child)
+            for name, url in orjson.loads(line).items()
+        ]
+        self.endpoints += started
+        return started
 
     async def wait_ready(self, entry: DeployedInstance) -> None:
         """Wait until an instance says that it is ready.
@@ -184,7 +181,9 @@
     async def start_logs(self) -> list[dict[str, Any]]:
         """Read the start logs of the endpoints that run."""
         running = [one for one in self.endpoints if one.child.running]
-        return await asyncio.gather(*(one.start_log() for one in running))
+        return await asyncio.gather(
+            *(one.start_log(self.http) for one in running)
+        )
 
     async def _start(self) -> None:
         options = self.options
@@ -214,37 +213,40 @@
         await self._start_endpoints()
 
     async def _start_endpoints(self) -> None:
-        names = {
-            _endpoint_name(zone, number): zone
+        numbers = range(1, self.options.endpoints + 1)
+        step = self.options.endpoint_processes or len(numbers)
+        groups = [
+            (zone, [f'{zone}-e{number}' for number in numbers[first::step]])
             for zone in self.options.zones
-            for number in range(1, self.options.endpoints + 1)
-        }
+            for first in range(step)
+        ]
         async with asyncio.TaskGroup() as group:
-            for name, zone in names.items():
-                group.create_task(self.start_endpoint(name, zone))
-        await self.wait_endpoints(names)
+            for zone, names in groups:
+                if names:
+                    group.create_task(self.start_endpoints(names, zone))
+        await self.wait_endpoints(one.name for one in self.endpoints)
 
     def _endpoint_command(
         self,
-        name: str,
+        names: Sequence[str],
         zone: str,
-        urls: list[str],
         mode: Mapping[str, Any],
     ) -> list[str]:
+        urls = [
+            entry.endpoints_url
+            for entry in self.instances
+            if entry.plan.zone == zone
+        ]
         options = self.options
         arguments = {
-            'endpoint': name,
+            'endpoint': ','.join(names),
             'zone': zone,
             'serves': options.serves,
             'slots': options.slots,
             'announce-to': ','.join(urls),
-            'seed': options.seed + zlib.crc32(name.encode()),
+            'seed': options.seed + zlib.crc32(names[0].encode()),
             'mode': orjson.dumps(mode).decode(),
             'linger-ms': options.linger_ms,
         }
         flags = [f'--{flag}={given}' for flag, given in arguments.items()]
         return [program('python'), '-m', 'bench.endpoint', *flags]
-
-
-def _endpoint_name(zone: str, number: int) -> str:
-    return f'{zone}-e{number}'
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -1,8 +1,9 @@
 """A stand-in endpoint: runs tasks by sleeping, and misbehaves on request.
 
 `python -m bench.endpoint --endpoint e1 --zone a --serves tkemali/order-desk
---announce-to http://127.0.0.1:8001` prints one JSON line with its name and
-URL once it listens.  SIGTERM makes it leave, and exit when idle.
+--announce-to http://127.0.0.1:8001` prints one JSON line with its URL
+by its name once it listens.  Several names run several endpoints in one process.
+SIGTERM makes them leave, and the process exit when idle.
 """
 
 import argparse
@@ -193,10 +194,30 @@
 
 
 async def serve(arguments: argparse.Namespace) -> None:
-    """Run a stand-in until SIGTERM and the end of its tasks."""
+    """Run stand-ins until SIGTERM and the end of their tasks."""
+    servers = [
+        EndpointServer(_stand_in(name, arguments))
+        for name in arguments.endpoint.split(',')
+    ]
+    leaving = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, leaving.set)
+    announce_to = arguments.announce_to.split(',')
+    await asyncio.gather(*(one.start(announce_to) for one in servers))
+    urls = {one.stand_in.options.endpoint: one.url for one in servers}
+    sys.stdout.buffer.write(orjson.dumps(urls, option=_LINE))
+    sys.stdout.flush()
+    await leaving.wait()
+    linger = arguments.linger_ms / MILLISECONDS
+    await asyncio.gather(*(one.drain(linger=linger) for one in servers))
+    await asyncio.gather(*(one.stop() for one in servers))
+
+
+def _stand_in(name: str, arguments: argparse.Namespace) -> StandIn:
     stand_in = StandIn(
         StandInOptions(
-            endpoint=arguments.endpoint,
+            endpoint=name,
             zone=arguments.zone,
             serves=parse_serves(arguments.serves),
             slots=arguments.slots,
@@ -205,24 +226,13 @@
         ),
     )
     stand_in.mode = Mode(**orjson.loads(arguments.mode))
-    server = EndpointServer(stand_in)
-    leaving = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, leaving.set)
-    await server.start(arguments.announce_to.split(','))
-    ready = {'endpoint': arguments.endpoint, 'url': server.url}
-    sys.stdout.buffer.write(orjson.dumps(ready, option=_LINE))
-    sys.stdout.flush()
-    await leaving.wait()
-    await server.drain(linger=arguments.linger_ms / MILLISECONDS)
-    await server.stop()
+    return stand_in
 
 
 def main(arguments: Sequence[str] | None = None) -> Any:
-    """Read the arguments and run one stand-in endpoint."""
+    """Read the arguments and run stand-in endpoints."""
     parser = argparse.ArgumentParser(prog='python -m bench.endpoint')
-    parser.add_argument('--endpoint', required=True)
+    parser.add_argument('--endpoint', required=True, help='name,name,…')
     parser.add_argument('--zone', required=True)
     parser.add_argument('--serves', default='*/*')
     parser.add_argument('--slots', type=int, default=8)
