--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -1,8 +1,8 @@
 """A stand-in endpoint: runs tasks by sleeping, and misbehaves on request.
 
 `python -m bench.endpoint --endpoint e1 --zone a --serves tkemali/order-desk
---announce-to http://127.0.0.1:8001` prints one JSON line with its URL
-by its name once it listens.  Several names run several endpoints in one process.
+--announce-to http://127.0.0.1:8001` prints one JSON line with its URL by its
+name once it listens.  Several names run several endpoints in one process.
 SIGTERM makes them leave, and the process exit when idle.
 """
 
