Follow the membership in routing, and record what each instance does

Cause: peers were taken as alive for ever, and nothing was measured. Change: a desk that follows the failure detector (routes, owners, forwarded jobs), tables compared with what heartbeats advertise, links reset when a peer falls silent; histograms, counts and log lines from one observer.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -14,9 +14,11 @@
 from cuminstack.daemon._driver import Driver
 from cuminstack.daemon._endpoints import EndpointInterface
 from cuminstack.daemon._links import Hello, PeerLink, PeerListener
+from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
+from cuminstack.membership import Timing
 from cuminstack.node import Node, NodeOptions
-from cuminstack.settings import Address, Settings
+from cuminstack.settings import Address, Settings, TimeoutSettings
 from cuminstack.slots import make_policy
 
 Hook = Callable[[], None]
@@ -73,6 +75,7 @@
         node = self._make_node()
         driver = Driver(
             node,
+            Observer(node.own.instance),
             tick_seconds=self._settings.timeouts.tick_ms / _MILLISECONDS,
         )
         await self._open_sender(driver)
@@ -94,8 +97,14 @@
             endpoint_lease=lease,
             max_running_jobs=settings.limits.max_running_jobs,
             outcome_lifetime=settings.limits.outcome_lifetime_seconds,
+            timing=make_timing(settings.timeouts),
+        )
+        return Node(
+            own,
+            peers=make_peers(settings),
+            policy=policy,
+            options=options,
         )
-        return Node(own, policy=policy, options=options)
 
     async def _open_sender(self, driver: Driver) -> None:
         sender = TaskSender(
@@ -123,7 +132,7 @@
         listener = PeerListener(
             frozenset(peer.name for peer in self._settings.other_peers),
             receive=driver.receive,
-            reject=lambda _sender, _error: None,
+            reject=driver.rejected,
         )
         await listener.start(self._settings.listen.peers)
         self._stack.push_async_callback(listener.stop)
@@ -136,7 +145,7 @@
         )
         callers = CallerInterface(driver, self._settings.limits)
         self.on_drain(endpoints.stop_accepting)
-        self.on_drain(driver.node.stop_accepting)
+        self.on_drain(driver.drain)
         listen = self._settings.listen
         await self._serve(endpoints.application(), listen.endpoints)
         await self._serve(callers.application(), listen.callers)
@@ -177,6 +186,30 @@
     )
 
 
+def make_peers(settings: Settings) -> tuple[Instance, ...]:
+    """Describe the instances that the settings list."""
+    return tuple(
+        Instance(
+            instance=peer.name,
+            zone=peer.zone,
+            incarnation=0,
+            peer_address=str(peer.peer_address),
+            endpoint_address=str(peer.endpoint_address),
+            replica=peer.replica,
+        )
+        for peer in settings.other_peers
+    )
+
+
+def make_timing(timeouts: TimeoutSettings) -> Timing:
+    """Give the time-outs of the failure detector."""
+    return Timing(
+        interval=timeouts.heartbeat_ms / _MILLISECONDS,
+        eager=timeouts.suspect_ms / _MILLISECONDS,
+        patient=timeouts.gone_ms / _MILLISECONDS,
+    )
+
+
 def _call(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
         hook()
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -1,6 +1,8 @@
 """Runs the node: feeds it events, performs its effects, keeps its time."""
 
 import asyncio
+import os
+import signal
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
@@ -8,6 +10,7 @@
 from cuminstack import wire
 from cuminstack.core import EndpointRecord, InstanceId, JobId, Send, TaskId
 from cuminstack.daemon._links import PeerLink
+from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import AttemptEnd, TaskSender
 from cuminstack.jobs import (
     JobEnded,
@@ -17,7 +20,16 @@
     StartEnd,
     StopStarted,
 )
-from cuminstack.node import AnnounceReply, Effects, Node, UnroutedMessage
+from cuminstack.logs import log_event
+from cuminstack.membership import Superseded
+from cuminstack.node import (
+    AnnounceReply,
+    Effects,
+    Node,
+    RoutableChanged,
+    UnroutedMessage,
+)
+from cuminstack.settings import LogLevel
 
 _MILLISECONDS: Final = 1000
 
@@ -39,11 +51,19 @@
 
     Args:
         node: The deciding parts.
+        observer: Records what is done.
         tick_seconds: Pause between two looks at what is due.
     """
 
-    def __init__(self, node: Node, *, tick_seconds: float) -> None:
+    def __init__(
+        self,
+        node: Node,
+        observer: Observer,
+        *,
+        tick_seconds: float,
+    ) -> None:
         self._node = node
+        self._observer = observer
         self._tick_seconds = tick_seconds
         self._loop = asyncio.get_running_loop()
         self._links: dict[InstanceId, PeerLink] = {}
@@ -57,6 +77,11 @@
         """The deciding parts."""
         return self._node
 
+    @property
+    def observer(self) -> Observer:
+        """What was recorded."""
+        return self._observer
+
     @property
     def now(self) -> float:
         """Present time: seconds of the loop's monotonic clock."""
@@ -80,6 +105,7 @@
         """Submit a job; the future gives its outcome."""
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
         self._waiting[request.job].append(waiter)
+        self._observer.submitted(request, now=self.now)
         outcome, effects = self._node.submit(request, now=self.now)
         if outcome is not None:
             self._waiting[request.job].remove(waiter)
@@ -99,6 +125,7 @@
 
     def announce(self, record: EndpointRecord) -> AnnounceReply:
         """Take an announcement."""
+        self._observer.announced()
         reply, effects = self._node.announce(record, now=self.now)
         self.perform(effects)
         return reply
@@ -109,14 +136,29 @@
         Raises:
             wire.UnknownKind: The node has no use for it.
         """
+        self._observer.received_frame(message)
         try:
             effects = self._node.receive(sender, message, now=self.now)
         except UnroutedMessage as error:
             raise wire.UnknownKind(str(error)) from error
         self.perform(effects)
 
+    def rejected(self, sender: InstanceId | None, error: Exception) -> None:
+        """Take note of a link that was closed because of a bad frame."""
+        log_event(
+            'link.rejected',
+            LogLevel.warning,
+            peer=sender or 'unknown',
+            error=error,
+        )
+
+    def drain(self) -> None:
+        """Take no new work."""
+        self.perform(self._node.drain(now=self.now))
+
     def finished(self, sent: SendStart, ended: AttemptEnd) -> None:
         """Take the end of an attempt."""
+        self._observer.finished(sent, ended, now=self.now)
         effects = self._node.finish(
             sent.task,
             ended.end,
@@ -150,12 +192,15 @@
     @_performs(Send)
     def _send(self, effect: Send) -> None:
         link = self._links.get(effect.to)
-        if link is not None:
-            link.send(wire.encode(effect.message))
+        if link is not None and link.is_open:
+            frame = wire.encode(effect.message)
+            self._observer.sent_frame(effect.message, len(frame))
+            link.send(frame)
 
     @_performs(SendStart)
     def _send_start(self, effect: SendStart) -> None:
         record = self._node.directory.get(effect.endpoint)
+        self._observer.sent(effect, now=self.now)
         if record is None or self._sender is None:
             # Nothing was sent, so the attempt has not started.
             ended = AttemptEnd(StartEnd.not_started)
@@ -170,8 +215,27 @@
         if record is not None and self._sender is not None:
             self._sender.stop(record, tasks)
 
+    @_performs(RoutableChanged)
+    def _routable_changed(self, effect: RoutableChanged) -> None:
+        log_event(
+            'membership.routable',
+            routable=','.join(peer.instance for peer in effect.routable),
+            lost=','.join(effect.lost),
+        )
+        for lost in effect.lost:
+            link = self._links.get(lost)
+            if link is not None:
+                # It may be the link that went silent, not the instance.
+                link.reset()
+
+    @_performs(Superseded)
+    def _superseded(self, effect: Superseded) -> None:
+        log_event('membership.superseded', LogLevel.error)
+        os.kill(os.getpid(), signal.SIGTERM)
+
     @_performs(JobEnded)
     def _job_ended(self, effect: JobEnded) -> None:
+        self._observer.ended(effect, now=self.now)
         for waiter in self._waiting.pop(effect.job, ()):
             if not waiter.done():
                 waiter.set_result(effect.outcome)
--- a/src/cuminstack/daemon/_program.py
+++ b/src/cuminstack/daemon/_program.py
@@ -7,6 +7,7 @@
 import fire
 
 from cuminstack.daemon._application import Application
+from cuminstack.logs import configure_logs
 from cuminstack.settings import Settings, SettingsFaults, load_settings
 
 _EXIT_BAD_SETTINGS: Final = 2
@@ -30,7 +31,11 @@
 
 async def _serve(settings: Settings) -> None:
     # The application belongs to the loop, so it is made inside of it.
-    await Application(settings).run()
+    output = configure_logs(settings.logs)
+    try:
+        await Application(settings).run()
+    finally:
+        output.close()
 
 
 def main() -> None:
--- a/src/cuminstack/node/__init__.py
+++ b/src/cuminstack/node/__init__.py
@@ -3,6 +3,7 @@
 from cuminstack.node._endpoints import AnnounceReply
 from cuminstack.node._gate import Gate, NodeOptions
 from cuminstack.node._node import Node
+from cuminstack.node._peers import RoutableChanged
 from cuminstack.node._routing import (
     Effects,
     UnroutedEffect,
@@ -15,6 +16,7 @@
     'Gate',
     'Node',
     'NodeOptions',
+    'RoutableChanged',
     'UnroutedEffect',
     'UnroutedMessage',
 )
--- a/src/cuminstack/node/_gate.py
+++ b/src/cuminstack/node/_gate.py
@@ -4,6 +4,7 @@
 from typing import Final, Protocol
 
 from cuminstack.jobs import JobBook, JobRequest, RefusalReason, Refused
+from cuminstack.membership import Timing
 
 #: Seconds after which a retry at an overloaded instance can help.
 _RETRY_AFTER_SECONDS: Final = 1.0
@@ -17,11 +18,13 @@
         endpoint_lease: Silence after which an endpoint is gone.
         outcome_lifetime: How long outcomes are kept for resends.
         max_running_jobs: Jobs in progress at most.
+        timing: Time-outs of the failure detector.
     """
 
     endpoint_lease: float
     outcome_lifetime: float
     max_running_jobs: int
+    timing: Timing
 
 
 class Gate(Protocol):
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -28,17 +28,26 @@
     StartEnd,
     StopStarted,
 )
+from cuminstack.membership import Membership, Superseded
 from cuminstack.node._dispatch import DispatchDesk
 from cuminstack.node._endpoints import AnnounceReply, EndpointDesk
 from cuminstack.node._gate import LoadGate, NodeOptions
 from cuminstack.node._intake import IntakeDesk
+from cuminstack.node._peers import PeerDesk, RoutableChanged
 from cuminstack.node._routing import Effects, Router
 from cuminstack.slots import Policy
 
 #: Memory for the answers of ended jobs, in bytes.
 _OUTCOME_BYTES: Final = 33_554_432
 
-_OUTWARD: Final = (Send, SendStart, StopStarted, JobEnded)
+_OUTWARD: Final = (
+    Send,
+    SendStart,
+    StopStarted,
+    JobEnded,
+    RoutableChanged,
+    Superseded,
+)
 
 
 class Node:
@@ -46,6 +55,7 @@
 
     Args:
         own: This instance.
+        peers: The instances that the settings list.
         policy: Its dispatch policy.
         options: Times that it keeps to.
     """
@@ -54,6 +64,7 @@
         self,
         own: Instance,
         *,
+        peers: Sequence[Instance],
         policy: Policy,
         options: NodeOptions,
     ) -> None:
@@ -75,7 +86,16 @@
             lease=options.endpoint_lease,
             directory=self._directory,
         )
-        for desk in (self._dispatch, self._intake, self._endpoints):
+        self._peers = PeerDesk(
+            own,
+            membership=Membership(own, peers, timing=options.timing),
+            endpoints=self._endpoints,
+            intake=self._intake,
+            directory=self._directory,
+            policy=policy,
+        )
+        desks = (self._dispatch, self._intake, self._endpoints, self._peers)
+        for desk in desks:
             self._router.add(desk)
 
     @property
@@ -88,6 +108,11 @@
         """Every endpoint of the deployment."""
         return self._directory
 
+    @property
+    def membership(self) -> Membership:
+        """Which instances are alive."""
+        return self._peers.membership
+
     @property
     def busy(self) -> int:
         """Jobs that callers still wait for."""
@@ -148,16 +173,9 @@
         reply, effects = self._endpoints.announce(record, now=now)
         return reply, self._settle(effects, now=now)
 
-    def observe_instances(
-        self,
-        alive: Sequence[Instance],
-        *,
-        now: float,
-    ) -> Effects:
-        """Take the instances that can be reached now."""
-        self._endpoints.observe_instances(tuple(alive))
-        effects = self._policy.observe_instances(alive, now=now)
-        return self._settle(effects, now=now)
+    def link_lost(self, peer: InstanceId, *, now: float) -> Effects:
+        """Take the hint that a peer can't be reached."""
+        return self._settle(self._peers.link_lost(peer, now=now), now=now)
 
     def receive(
         self,
@@ -182,12 +200,14 @@
             *self._dispatch.tick(now=now),
             *self._intake.tick(now=now),
             *self._endpoints.tick(now=now),
+            *self._peers.tick(now=now),
         )
         return self._settle(effects, now=now)
 
-    def stop_accepting(self) -> None:
-        """Refuse new jobs from now on."""
+    def drain(self, *, now: float) -> Effects:
+        """Refuse new jobs from now on, and hand over what is owned."""
         self._intake.stop_accepting()
+        return self._settle(self._peers.leave(now=now), now=now)
 
     def _settle(self, effects: Effects, *, now: float) -> Effects:
         outward = self._router.settle(effects, now=now)
--- /dev/null
+++ b/src/cuminstack/node/_peers.py
@@ -0,0 +1,149 @@
+"""What changes when instances come, go or fall silent."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.core import Instance, InstanceId
+from cuminstack.endpoints import Directory
+from cuminstack.membership import (
+    Heartbeat,
+    Membership,
+    PeerSummary,
+    Records,
+    Summary,
+    ViewChanged,
+)
+from cuminstack.node._endpoints import EndpointDesk
+from cuminstack.node._intake import IntakeDesk
+from cuminstack.node._routing import Effects, on_effect, on_message
+from cuminstack.slots import Policy
+
+#: Pause between two comparisons with what peers advertised, in seconds.
+_COMPARE_SECONDS: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class RoutableChanged:
+    """The instances that work may be sent to are others than before.
+
+    Args:
+        routable: Those that it may be sent to, this one included.
+        lost: Those that it may no longer be sent to.
+    """
+
+    routable: tuple[Instance, ...]
+    lost: tuple[InstanceId, ...]
+
+
+class PeerDesk:
+    """Follows the membership, and tells the other desks.
+
+    Args:
+        own: This instance.
+        membership: The failure detector.
+        endpoints: The desk whose table is advertised.
+        intake: The desk whose jobs may wait for a peer.
+        directory: Where the endpoints of peers are listed.
+        policy: The dispatch policy.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        *,
+        membership: Membership,
+        endpoints: EndpointDesk,
+        intake: IntakeDesk,
+        directory: Directory,
+        policy: Policy,
+    ) -> None:
+        self._own = own
+        self._membership = membership
+        self._endpoints = endpoints
+        self._intake = intake
+        self._directory = directory
+        self._policy = policy
+        self._advertised: dict[InstanceId, int] = {}
+        self._alive: frozenset[tuple[InstanceId, int]] = frozenset()
+        self._routable: frozenset[InstanceId] = frozenset()
+        self._compared_at = float('-inf')
+
+    @property
+    def membership(self) -> Membership:
+        """The failure detector."""
+        return self._membership
+
+    def leave(self, *, now: float) -> Effects:
+        """Announce that this instance takes no new work."""
+        return self._membership.leave(now=now)
+
+    def link_lost(self, peer: InstanceId, *, now: float) -> Effects:
+        """Take the hint that a peer can't be reached."""
+        return self._membership.link_lost(peer, now=now)
+
+    def tick(self, *, now: float) -> Effects:
+        """Send what is due, and pull tables that are behind."""
+        self._membership.advertise(Summary(stamp=self._endpoints.version))
+        effects: Effects = self._membership.tick(now=now)
+        if now - self._compared_at < _COMPARE_SECONDS:
+            return effects
+        self._compared_at = now
+        return (*effects, *self._compare_all(now=now))
+
+    @on_message(Heartbeat, Records)
+    def _receive(
+        self,
+        sender: InstanceId,
+        message: Heartbeat | Records,
+        *,
+        now: float,
+    ) -> Effects:
+        return self._membership.receive(sender, message, now=now)
+
+    @on_effect(PeerSummary)
+    def _peer_summary(self, effect: PeerSummary, *, now: float) -> Effects:
+        self._advertised[effect.sender] = effect.summary.stamp
+        return self._compare(effect.sender, now=now)
+
+    @on_effect(ViewChanged)
+    def _view_changed(self, effect: ViewChanged, *, now: float) -> Effects:
+        alive = frozenset(
+            (peer.instance, peer.incarnation) for peer in effect.alive
+        )
+        effects: list[Effects] = [
+            self._forget(name, now=now)
+            for name, _ in sorted(self._alive - alive)
+        ]
+        self._alive = alive
+        self._endpoints.observe_instances(effect.routable)
+        routable = frozenset(peer.instance for peer in effect.routable)
+        lost = tuple(sorted(self._routable - routable))
+        self._routable = routable
+        return (
+            *(each for group in effects for each in group),
+            *self._policy.observe_instances(effect.routable, now=now),
+            RoutableChanged(effect.routable, lost),
+        )
+
+    def _forget(self, name: InstanceId, *, now: float) -> Effects:
+        """End what depends on a process that is gone."""
+        self._advertised.pop(name, None)
+        return (
+            *self._directory.forget_owner(name),
+            *self._intake.holder_gone(name, now=now),
+        )
+
+    def _compare_all(self, *, now: float) -> Effects:
+        groups = [self._compare(name, now=now) for name in self._advertised]
+        return tuple(each for group in groups for each in group)
+
+    def _compare(self, name: InstanceId, *, now: float) -> Effects:
+        record = self._membership.record_of(name)
+        if record is None or name not in self._routable:
+            return ()
+        return self._directory.observe_version(
+            name,
+            record.incarnation,
+            self._advertised[name],
+            now=now,
+        )
