--- a/bench/_run.py
+++ b/bench/_run.py
@@ -85,7 +85,7 @@
         ]
     samples = tuple(task.result() for task in sending)
     after = await _counters(deployment)
-    oracle = Oracle(await deployment.start_logs())
+    oracle = Oracle(deployment.start_logs())
     violations = oracle.check([sample.told for sample in samples])
     return Run(samples, after - before, violations)
 
--- a/bench/_stand_in.py
+++ b/bench/_stand_in.py
@@ -5,8 +5,10 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Final
 
+from bench._start_log import StartLog
 from bench._tasks import (
     DuplicateTask,
     NotStarted,
@@ -32,6 +34,8 @@
         connections: Connections that it claims to accept.
         offers: Its processors, memory and accelerators.
         seed: Seed of the choice of tasks that misbehave.
+        start_log: File that each start is appended to, so that it is known
+            even if the process is killed.
     """
 
     endpoint: str
@@ -41,6 +45,7 @@
     connections: int = 64
     offers: Needs = field(default_factory=lambda: Needs(16, 32768, 0))
     seed: int = 0
+    start_log: Path | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,6 +80,7 @@
         self.state_changed = asyncio.Event()
         self.idle = asyncio.Event()
         self.idle.set()
+        self._log = StartLog(options.start_log)
         self._runs: dict[str, TaskRun] = {}
         self._tags: Counter[str] = Counter()
         self._refused: dict[str, Refusal] = {}
@@ -162,6 +168,7 @@
         """
         if task in self._runs:
             self._duplicates.append(task)
+            self._log.duplicate(task)
             raise DuplicateTask(task)
         reason = self._reason_to_refuse(task, body, now - received)
         if self.state is EndpointState.leaving:
@@ -209,6 +216,7 @@
             'echo': wanted.get('echo'),
             'endpoint': self.options.endpoint,
         }
+        self._log.started(task)
         run = TaskRun(task, answer)
         self._runs[task] = run
         self._busy += 1
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Any, Final
 
 import orjson
@@ -32,6 +33,7 @@
     StandIn,
     StandInOptions,
 )
+from bench._start_log import start_log_path
 from bench._tasks import DuplicateTask, NotStarted
 from cuminstack.core import MemberName, ServiceName, ServiceRef
 
@@ -57,7 +59,7 @@
     def build(self) -> web.Application:
         """Give the application, ready to be served."""
         app = web.Application(client_max_size=_BODY_BYTES)
-        app.router.add_put('/v1/tasks/{task}', self._start)
+        app.router.add_post('/v1/tasks/{task}', self._start)
         app.router.add_get('/v1/tasks/{task}', self._state)
         app.router.add_delete('/v1/tasks', self._stop)
         app.router.add_get('/starts', self._starts)
@@ -215,6 +217,7 @@
 
 
 def _stand_in(name: str, arguments: argparse.Namespace) -> StandIn:
+    folder = arguments.start_logs
     stand_in = StandIn(
         StandInOptions(
             endpoint=name,
@@ -223,6 +226,7 @@
             slots=arguments.slots,
             connections=arguments.connections,
             seed=arguments.seed,
+            start_log=folder and start_log_path(folder, name),
         ),
     )
     stand_in.mode = Mode(**orjson.loads(arguments.mode))
@@ -241,6 +245,7 @@
     parser.add_argument('--seed', type=int, default=0)
     parser.add_argument('--mode', default='{}', help='JSON, as PUT /mode')
     parser.add_argument('--linger-ms', type=float, default=3000)
+    parser.add_argument('--start-logs', type=Path, help='their folder')
     asyncio.run(serve(parser.parse_args(arguments)))
 
 
