--- a/bench/_start_log.py
+++ b/bench/_start_log.py
@@ -12,7 +12,7 @@
     """Appends each start to a file, if there is one."""
 
     def __init__(self, path: Path | None) -> None:
-        self._file = path and path.open('ab', buffering=0)
+        self._file = path.open('ab', buffering=0) if path else None
 
     def started(self, task: str) -> None:
         """Note that a task is starting."""
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -78,11 +78,12 @@
 
     async def _start_now(self, request: web.Request) -> web.StreamResponse:
         received = time.monotonic()
+        task = request.match_info['task']
         self._count_connections(request)
         try:
             body = orjson.loads(await request.read())
             run = self.stand_in.start(
-                request.match_info['task'],
+                task,
                 body,
                 received=received,
                 now=time.monotonic(),
@@ -91,7 +92,12 @@
             return problem('duplicate', status=409, detail=duplicate.task)
         except NotStarted as refused:
             detail = refused.reason.value
-            return problem('not-started', status=503, detail=detail)
+            return problem(
+                'not-started',
+                status=503,
+                detail=detail,
+                task=task,
+            )
         except _BAD_BODY as error:
             return problem('bad-request', status=400, detail=repr(error))
         mode = self.stand_in.mode
