--- /dev/null
+++ b/tests/processes/test_instance_faults.py
@@ -0,0 +1,132 @@
+"""Instances that are killed, paused or shut down under load."""
+
+import asyncio
+import time
+
+import pytest
+from bench.caller import Submission
+from bench.oracle import OutcomeKind
+
+from processes.support import kinds, scene
+
+COMPLETE = OutcomeKind.complete
+FAILED = OutcomeKind.failed
+REFUSED = OutcomeKind.refused
+
+
+class TestDeath:
+    """An instance is killed while its job runs."""
+
+    async def test_resend_of_a_lost_job(self) -> None:
+        job = Submission(key='lost', run_ms=(800,) * 4, idempotent=False)
+        other = Submission(key='other', run_ms=(800,) * 4)
+        async with scene(zones=3, slots=8) as act:
+            lost = act.submit_soon(job, 0)
+            running = act.submit_soon(other, 1)
+            await act.started(job, 4)
+            await act.instances[0].child.kill()
+            assert (await lost).kind is OutcomeKind.unanswered
+            resent = await act.submit(job, 1)
+            again = await act.submit(job, 2)
+            assert kinds([resent, again]) == {FAILED}
+            assert act.starts(job) == 4
+            assert (await running).kind is COMPLETE
+
+    async def test_others_go_on(self) -> None:
+        jobs = [
+            Submission(key=f'job-{number}', run_ms=(20,) * 4)
+            for number in range(20)
+        ]
+        async with scene(zones=3, slots=8) as act:
+            await act.instances[0].child.kill()
+            replies = await asyncio.gather(
+                *(
+                    act.submit(job, 1 + number % 2)
+                    for number, job in enumerate(jobs)
+                ),
+            )
+            assert kinds(replies) == {COMPLETE}
+
+    async def test_restart(self) -> None:
+        before = Submission(key='before', run_ms=(5,) * 4)
+        after = Submission(key='after', run_ms=(5,) * 4)
+        async with scene(zones=3, slots=8) as act:
+            assert (await act.submit(before, 0)).kind is COMPLETE
+            await act.instances[0].child.kill()
+            await act.deployment.restart(act.instances[0])
+            await act.known_endpoints(3)
+            assert (await act.submit(after, 0)).kind is COMPLETE
+
+
+class TestPause:
+    """An instance is stopped for a while, and wakes with old plans."""
+
+    async def test_sleeper_starts_nothing_twice(self) -> None:
+        queued = Submission(key='queued', run_ms=(150,) * 30)
+        others = [
+            Submission(key=f'other-{number}', run_ms=(30,) * 4)
+            for number in range(10)
+        ]
+        async with scene(zones=3, slots=2) as act:
+            sleeping = act.submit_soon(queued, 0)
+            await act.started(queued, 2)
+            act.instances[0].child.pause()
+            replies = await asyncio.gather(
+                *(act.submit(job, 1) for job in others),
+            )
+            await asyncio.sleep(2)
+            act.instances[0].child.resume()
+            assert kinds(replies) == {COMPLETE}
+            assert (await sleeping).kind in {COMPLETE, FAILED}
+
+    async def test_resend_while_asleep(self) -> None:
+        job = Submission(key='asleep', run_ms=(100,) * 4, idempotent=False)
+        async with scene(zones=3, slots=4) as act:
+            first = act.submit_soon(job, 0)
+            await act.started(job, 4)
+            act.instances[0].child.pause()
+            resent = act.submit_soon(job, 1)
+            await asyncio.sleep(2)
+            act.instances[0].child.resume()
+            assert (await first).kind in {COMPLETE, FAILED}
+            assert (await resent).kind in {COMPLETE, FAILED}
+            assert act.starts(job) == 4
+
+
+class TestShutdown:
+    """SIGTERM under load cuts off nothing that is in progress."""
+
+    @pytest.mark.parametrize('instances', [1, 3])
+    async def test_jobs_in_progress_end(self, instances: int) -> None:
+        jobs = [
+            Submission(key=f'job-{number}', run_ms=(400, 10, 700))
+            for number in range(16)
+        ]
+        late = Submission(key='late', run_ms=(5,))
+        async with scene(instances=instances, slots=16) as act:
+            running = [act.submit_soon(job, 0) for job in jobs]
+            await act.started(jobs[-1], 1)
+            leaving = act.instances[0]
+            leaving.child.terminate()
+            await asyncio.sleep(0.1)
+            assert not await leaving.is_ready(act.http)
+            refused = await act.submit(late, 0)
+            assert refused.kind in {REFUSED, OutcomeKind.unanswered}
+            assert kinds(await asyncio.gather(*running)) == {COMPLETE}
+            assert await leaving.child.wait(seconds=10) == 0
+            assert not act.starts(late)
+
+    async def test_others_take_its_endpoints(self) -> None:
+        job = Submission(key='moved', run_ms=(20,) * 12)
+        async with scene(instances=2, endpoints=2, slots=4) as act:
+            act.instances[0].child.terminate()
+            assert await act.instances[0].child.wait(seconds=10) == 0
+            assert (await act.submit(job, 1)).kind is COMPLETE
+
+    async def test_idle_instance_exits_at_once(self) -> None:
+        async with scene() as act:
+            child = act.instances[0].child
+            began = time.monotonic()
+            child.terminate()
+            assert await child.wait(seconds=10) == 0
+            assert time.monotonic() - began < 10
