Give up jobs whose callers hung up, after a grace

Cause: a job without any caller ran on for ever. Change: a job goes on for the stated grace, so that a resend can attach to it, then is cancelled; one that a peer's caller waits for goes on.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -146,6 +146,7 @@
         callers = CallerInterface(driver, self._settings.limits)
         self.on_drain(endpoints.stop_accepting)
         self.on_drain(driver.drain)
+        self._background(callers.run())
         listen = self._settings.listen
         await self._serve(endpoints.application(), listen.endpoints)
         await self._serve(callers.application(), listen.callers)
--- a/src/cuminstack/daemon/_callers.py
+++ b/src/cuminstack/daemon/_callers.py
@@ -16,6 +16,7 @@
 )
 from cuminstack.daemon._bodies import read_job
 from cuminstack.daemon._driver import Driver
+from cuminstack.daemon._hang_ups import HangUps
 from cuminstack.daemon._middleware import errors_as_problems
 from cuminstack.daemon._problems import (
     KEY_HEADER,
@@ -26,6 +27,9 @@
 from cuminstack.daemon._shapes import JobStateBody
 from cuminstack.settings import LimitSettings
 
+#: Pause between two looks for callers that hung up, in seconds.
+_SWEEP_SECONDS: Final = 1.0
+
 _JOB_PATH: Final = '/v1/members/{member}/jobs/{key}'
 
 
@@ -40,6 +44,7 @@
     def __init__(self, driver: Driver, limits: LimitSettings) -> None:
         self._driver = driver
         self._limits = limits
+        self._hang_ups = HangUps(grace=limits.resend_grace_seconds)
 
     def application(self) -> web.Application:
         """Build the routes."""
@@ -55,6 +60,13 @@
         application.router.add_delete(_JOB_PATH, self._cancel)
         return application
 
+    async def run(self) -> None:
+        """Give up the jobs of callers that hung up, until cancelled."""
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            for job in self._hang_ups.sweep(now=self._driver.now):
+                self._driver.abandon(job)
+
     async def _submit(self, request: web.Request) -> web.Response:
         service = ServiceRef(
             MemberName(request.match_info['member']),
@@ -68,7 +80,10 @@
             own=self._driver.node.own.instance,
             limits=self._limits,
         )
-        outcome = await self._driver.submit(job)
+        waiter = self._driver.submit(job)
+        self._hang_ups.connected(job.job, request)
+        outcome = await waiter
+        self._hang_ups.ended(job.job)
         return outcome_response(job.job, outcome)
 
     async def _get(self, request: web.Request) -> web.Response:
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -123,6 +123,10 @@
         """Cancel a job."""
         self.perform(self._node.cancel(job, now=self.now))
 
+    def abandon(self, job: JobId) -> None:
+        """Give up a job whose callers have all hung up for good."""
+        self.perform(self._node.abandon(job, now=self.now))
+
     def announce(self, record: EndpointRecord) -> AnnounceReply:
         """Take an announcement."""
         self._observer.announced()
--- a/src/cuminstack/daemon/_endpoints.py
+++ b/src/cuminstack/daemon/_endpoints.py
@@ -44,6 +44,7 @@
             self._announce,
         )
         application.router.add_get('/v1/ready', self._ready)
+        application.router.add_get('/v1/histograms', self._histograms)
         return application
 
     def stop_accepting(self) -> None:
@@ -68,6 +69,9 @@
         )
         return json_response(body)
 
+    async def _histograms(self, _: web.Request) -> web.Response:
+        return json_response(self._driver.observer.snapshot())
+
     async def _ready(self, _: web.Request) -> web.Response:
         status = HTTPStatus.OK
         if not self._is_ready:
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -154,6 +154,18 @@
             return self._book.close(claiming, cancelled, now=now)
         return self._book.cancel(job, now=now)
 
+    def abandon(self, job: JobId, *, now: float) -> Effects:
+        """End a job whose callers here have all hung up for good.
+
+        A job that a peer's caller waits for goes on.  A job that runs at
+        another instance is only let go of here.
+        """
+        if self._forwarded.pop(job, None) is not None:
+            return (JobEnded(job, Failed(FailureReason.cancelled)),)
+        if self._waiting_peers.get(job):
+            return ()
+        return self.cancel(job, now=now)
+
     def holder_gone(self, holder: InstanceId, *, now: float) -> Effects:
         """End what waits for an instance that is gone."""
         lost = [
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -144,6 +144,10 @@
         """Cancel a job."""
         return self._settle(self._intake.cancel(job, now=now), now=now)
 
+    def abandon(self, job: JobId, *, now: float) -> Effects:
+        """End a job whose callers here have all hung up for good."""
+        return self._settle(self._intake.abandon(job, now=now), now=now)
+
     def finish(
         self,
         task: TaskId,
