--- /dev/null
+++ b/src/cuminstack/register/_messages.py
@@ -0,0 +1,167 @@
+"""What proposers and replicas say to each other."""
+
+import enum
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.core import InstanceId
+from cuminstack.register._ballots import Ballot
+from cuminstack.register._values import Transfer
+from cuminstack.wire import message
+
+#: Bytes of the digest that stands for a replica set.
+_SET_STAMP_BYTES: Final = 8
+
+
+class Standing(enum.Enum):
+    """What a replica may do.
+
+    `blank` never voted, `recovering` lost what it voted, `voting` votes.
+    """
+
+    blank = 'blank'
+    recovering = 'recovering'
+    voting = 'voting'
+
+
+class Refusal(enum.Enum):
+    """Why a replica doesn't do what a proposer asks."""
+
+    promised = 'promised'
+    not_voting = 'not_voting'
+    other_life = 'other_life'
+    other_set = 'other_set'
+    unknown_base = 'unknown_base'
+
+
+@dataclass(frozen=True, slots=True)
+class Founder:
+    """A replica that had never voted when the register was founded."""
+
+    replica: InstanceId
+    life: int
+
+
+@message('register.prepare')
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Ask a replica to take part in no ballot below this one."""
+
+    ballot: Ballot
+    replica_set: bytes
+
+
+@message('register.promise')
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """Promise that, and tell what was accepted before.
+
+    Args:
+        ballot: The ballot of the promise.
+        life: Changes when the replica loses its memory.
+        accepted: The ballot that was accepted last.
+        stamp: Stamp of the value that was accepted last.
+    """
+
+    ballot: Ballot
+    life: int
+    accepted: Ballot
+    stamp: bytes
+
+
+@message('register.accept')
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Ask a replica that promised, in the life in which it did, to accept."""
+
+    ballot: Ballot
+    life: int
+    replica_set: bytes
+    transfer: Transfer
+
+
+@message('register.accepted')
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Tell that the value of a ballot is accepted, and synced."""
+
+    ballot: Ballot
+
+
+@message('register.refused')
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Tell that a ballot gets nothing from this replica.
+
+    Args:
+        ballot: The ballot that was refused.
+        promised: The highest ballot that the replica promised.
+        refusal: Why.
+        accepting: Whether it was to accept, not to promise.
+    """
+
+    ballot: Ballot
+    promised: Ballot
+    refusal: Refusal
+    accepting: bool
+
+
+@message('register.fetch')
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Ask a replica for the value that it accepted.
+
+    Args:
+        stamp: Stamp of the value.
+        base: Stamp of what the asker has: a sheet without its history.
+    """
+
+    stamp: bytes
+    base: bytes
+
+
+@message('register.fetched')
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """Give the value that was asked for."""
+
+    transfer: Transfer
+
+
+@message('register.greet')
+@dataclass(frozen=True, slots=True)
+class Greet:
+    """Ask another replica whether it votes; from one that doesn't."""
+
+    life: int
+    replica_set: bytes
+
+
+@message('register.greeting')
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """Tell what this replica may do.
+
+    Args:
+        asked: Life of the replica that asked.
+        life: Life of the one that answers.
+        standing: What it may do.
+        founders: Who founded the register that it votes on.
+    """
+
+    asked: int
+    life: int
+    standing: Standing
+    founders: tuple[Founder, ...]
+
+
+ReplicaRequest = Prepare | Accept | Fetch | Greet
+ReplicaReply = Promise | Accepted | Refused | Fetched | Greeting
+
+
+def set_stamp(replicas: Iterable[InstanceId]) -> bytes:
+    """Give what stands for a replica set in messages."""
+    names = '\n'.join(sorted(replicas)).encode()
+    return hashlib.sha256(names).digest()[:_SET_STAMP_BYTES]
--- /dev/null
+++ b/src/cuminstack/register/_state.py
@@ -0,0 +1,142 @@
+"""What a replica must not forget, and its record on the disk."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+import cbor2
+import msgspec
+
+from cuminstack.core import InstanceId
+from cuminstack.register._ballots import NO_BALLOT, Ballot
+from cuminstack.register._messages import Founder, Standing
+from cuminstack.register._values import EMPTY_VALUE, Superseded, Value
+from cuminstack.sheet import SheetFaults, parse  # noqa: WPS347
+
+_RECORD_VERSION: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptorState:
+    """What a replica must not forget.
+
+    Args:
+        replicas: The replica set that it belongs to, sorted.
+        life: Changes when the replica loses its memory.
+        standing: What it may do.
+        promised: It takes part in no ballot below this one.
+        accepted: The ballot that it accepted last.
+        value: The value of that ballot.
+        founders: Who founded the register that it votes on.
+    """
+
+    replicas: tuple[InstanceId, ...]
+    life: int
+    standing: Standing
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    value: Value = EMPTY_VALUE
+    founders: tuple[Founder, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class BadRecord:
+    """A record that was saved by another program or version."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Record:
+    record_version: int
+    replicas: tuple[InstanceId, ...]
+    life: int
+    standing: Standing
+    promised: Ballot
+    accepted: Ballot
+    founders: tuple[Founder, ...]
+    history: tuple[Superseded, ...]
+    sheet: bytes
+
+
+def encode_state(state: AcceptorState) -> bytes:
+    """Give the record of a state."""
+    sheet = state.value.sheet
+    record = _Record(
+        record_version=_RECORD_VERSION,
+        replicas=state.replicas,
+        life=state.life,
+        standing=state.standing,
+        promised=state.promised,
+        accepted=state.accepted,
+        founders=state.founders,
+        history=state.value.history,
+        sheet=sheet.canonical if sheet.version else b'',
+    )
+    return cbor2.dumps(msgspec.to_builtins(record, builtin_types=(bytes,)))
+
+
+def decode_state(record: bytes) -> AcceptorState | BadRecord:
+    """Read a record."""
+    try:
+        plain = cbor2.loads(record)
+    except (cbor2.CBORError, ValueError) as error:
+        return BadRecord(str(error))
+    return _convert(plain)
+
+
+def _convert(plain: Any) -> AcceptorState | BadRecord:
+    try:
+        found = msgspec.convert(plain, _Record, builtin_types=(bytes,))
+    except msgspec.ValidationError as error:
+        return BadRecord(str(error))
+    sheet = parse(found.sheet) if found.sheet else EMPTY_VALUE.sheet
+    if isinstance(sheet, SheetFaults):
+        return BadRecord(str(sheet.faults[0]))
+    if found.record_version != _RECORD_VERSION:
+        return BadRecord(f'record version {found.record_version}')
+    return AcceptorState(
+        replicas=found.replicas,
+        life=found.life,
+        standing=found.standing,
+        promised=found.promised,
+        accepted=found.accepted,
+        value=Value(sheet, found.history),
+        founders=found.founders,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class OtherReplicaSet:
+    """The record belongs to another replica set than the settings name."""
+
+    found: tuple[InstanceId, ...]
+
+
+def starting_state(
+    replicas: Iterable[InstanceId],
+    *,
+    incarnation: int,
+    record: bytes | None,
+    damaged: bool = False,
+) -> AcceptorState | OtherReplicaSet:
+    """Give the state that a replica starts with.
+
+    Args:
+        replicas: The replica set, from the settings.
+        incarnation: Grows with each start of the process; names the life
+            of a replica that has no memory.
+        record: What was loaded, if it was whole.
+        damaged: Whether there was something that wasn't whole.
+    """
+    replica_set = tuple(sorted(replicas))
+    standing = Standing.recovering if damaged else Standing.blank
+    empty = AcceptorState(replica_set, incarnation, standing)
+    if record is None:
+        return empty
+    found = decode_state(record)
+    if isinstance(found, BadRecord):
+        return replace(empty, standing=Standing.recovering)
+    if found.replicas != replica_set:
+        return OtherReplicaSet(found.replicas)
+    return found
--- /dev/null
+++ b/src/cuminstack/sheet/_faults.py
@@ -0,0 +1,63 @@
+"""What may be wrong with a sheet."""
+
+import enum
+from dataclasses import dataclass
+
+
+class FaultKind(enum.Enum):
+    """The kinds of faults that a check of a sheet finds."""
+
+    bad_choice = 'bad_choice'
+    bad_csv = 'bad_csv'
+    bad_name = 'bad_name'
+    bad_number = 'bad_number'
+    duplicate = 'duplicate'
+    empty = 'empty'
+    extra_cell = 'extra_cell'
+    header_misplaced = 'header_misplaced'
+    missing_cell = 'missing_cell'
+    no_members = 'no_members'
+    not_utf8 = 'not_utf8'
+    out_of_range = 'out_of_range'
+    too_large = 'too_large'
+    too_many = 'too_many'
+    unknown_kind = 'unknown_kind'
+    unknown_member = 'unknown_member'
+    unknown_service = 'unknown_service'
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class SheetFault:
+    """One fault.
+
+    Args:
+        row: Line of the file, from 1.
+        column: Cell in the line, from 1.
+        kind: What is wrong.
+        detail: What was found or expected there.
+    """
+
+    row: int
+    column: int
+    kind: FaultKind
+    detail: str = ''
+
+    def __str__(self) -> str:
+        kind = self.kind.value
+        where = f'row {self.row}, column {self.column}'
+        return f'{where}: {kind} {self.detail}'.rstrip()
+
+
+@dataclass(frozen=True, slots=True)
+class SheetFaults:
+    """Every fault of a sheet that is refused, by row and column."""
+
+    faults: tuple[SheetFault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BadCell(Exception):
+    """A cell that can't be read."""
+
+    kind: FaultKind
+    detail: str
