Claim jobs on a majority of three replicas in memory

Cause: a non-idempotent job must start at most once over resends at any instance, deaths of its holder, and replicas that lose their memory in turn. Change: package claims: write-once registers by job on one instance of each zone, chosen by rendezvous hashing over the configured instances; the first proposal needs no promises, races go to a later ballot; restarted replicas catch up with every other replica of a job before they vote, and vectors of incarnations void the votes that they gave before; changes of the configured instances through a joint view; outcomes recorded in batches.

--- a/src/cuminstack/claims/__init__.py
+++ b/src/cuminstack/claims/__init__.py
@@ -1,1 +1,51 @@
-"""Write-once claims of jobs on a majority of replicas."""
+"""Write-once claims: who alone may start a job, over resends and deaths."""
+
+from cuminstack.claims._attempt import Patience
+from cuminstack.claims._client import ClaimClient, Effect, Effects
+from cuminstack.claims._messages import (
+    AlreadyClaimed,
+    Answer,
+    Claimed,
+    Handover,
+    NoMajority,
+    Outcomes,
+    Prepare,
+    Propose,
+    Pull,
+    Recorded,
+    Settled,
+    Vote,
+)
+from cuminstack.claims._replica import ClaimReplica
+from cuminstack.claims._service import Claims
+from cuminstack.claims._store import Limits
+from cuminstack.claims._values import Ballot, Claim, Entry, VoteState
+from cuminstack.claims._view import ClaimView, replicas
+
+__all__ = (
+    'AlreadyClaimed',
+    'Answer',
+    'Ballot',
+    'Claim',
+    'ClaimClient',
+    'ClaimReplica',
+    'ClaimView',
+    'Claimed',
+    'Claims',
+    'Effect',
+    'Effects',
+    'Entry',
+    'Handover',
+    'Limits',
+    'NoMajority',
+    'Outcomes',
+    'Patience',
+    'Prepare',
+    'Propose',
+    'Pull',
+    'Recorded',
+    'Settled',
+    'Vote',
+    'VoteState',
+    'replicas',
+)
--- /dev/null
+++ b/tests/fakes_claims.py
@@ -0,0 +1,104 @@
+"""Claimants and replicas over an in-memory network, with an oracle."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any
+
+from cuminstack.claims import (
+    AlreadyClaimed,
+    Claimed,
+    Claims,
+    ClaimView,
+    Limits,
+    NoMajority,
+)
+from cuminstack.core import InstanceId, JobId, JobKey, MemberName, Send
+from fakes_network import FakeNetwork, make_instance
+
+STEP = 0.01
+LIMITS = Limits(lifetime=60)
+
+
+def make_job(key: str) -> JobId:
+    return JobId(MemberName('tkemali'), JobKey(key))
+
+
+class ClaimDeployment:
+    """Instances with claims, and what each of them was told."""
+
+    def __init__(self, view: ClaimView, *, seed: int = 0) -> None:
+        self.network = FakeNetwork(seed)
+        self.parts: dict[str, Claims] = {}
+        self.told: list[tuple[str, Any]] = []
+        self.now: float = 0
+        self.incarnations: Counter[str] = Counter()
+        for instance in view.instances:
+            self.start(instance.instance, view)
+            self.parts[instance.instance].assume_fresh()
+
+    @property
+    def claimed(self) -> list[tuple[str, JobId]]:
+        return [
+            (name, effect.job)
+            for name, effect in self.told
+            if isinstance(effect, Claimed)
+        ]
+
+    def start(self, name: str, view: ClaimView) -> None:
+        self.incarnations[name] += 1
+        self.parts[name] = Claims(
+            make_instance(name, self.incarnations[name]),
+            view,
+            limits=LIMITS,
+            now=self.now,
+        )
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.parts.pop(name)
+
+    def claim(self, name: str, key: str, digest: bytes = b'body') -> None:
+        effects = self.parts[name].claim(make_job(key), digest, now=self.now)
+        self.apply(name, effects, self.now)
+
+    def finish(self, name: str, key: str, outcome: bytes = b'done') -> None:
+        self.parts[name].record_outcome(make_job(key), outcome)
+
+    def run(self, seconds: float, *, step: float = STEP) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += step
+            self.network.deliver(self.now, self.receive)
+            for name, part in tuple(self.parts.items()):
+                self.apply(name, part.tick(now=self.now), self.now)
+
+    def receive(self, sender: str, to: str, message: Any, now: float) -> None:
+        part = self.parts.get(to)
+        if part is not None:
+            effects = part.receive(InstanceId(sender), message, now=now)
+            self.apply(to, effects, now)
+
+    def apply(self, name: str, effects: Sequence[Any], now: float) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.network.send(name, effect.to, effect.message, now)
+            else:
+                self.told.append((name, effect))
+
+    def last(self, name: str) -> Any:
+        """Give what an instance was told last."""
+        return [effect for to, effect in self.told if to == name][-1]
+
+    def check_once(self) -> None:
+        """Check the oracle: no job is granted twice, ever."""
+        jobs = [job for _, job in self.claimed]
+        assert len(jobs) == len(set(jobs)), self.claimed
+
+
+def holder_of(effect: Any) -> str:
+    assert isinstance(effect, AlreadyClaimed)
+    return effect.holder
+
+
+def is_given_up(effect: Any) -> bool:
+    return isinstance(effect, NoMajority)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,414 @@
+"""Claims over an in-memory network."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from cuminstack.claims import (
+    AlreadyClaimed,
+    Answer,
+    Claimed,
+    Claims,
+    ClaimView,
+    Limits,
+    NoMajority,
+    replicas,
+)
+from cuminstack.core import InstanceId, Send
+from fakes_claims import (
+    LIMITS,
+    ClaimDeployment,
+    holder_of,
+    is_given_up,
+    make_job,
+)
+from fakes_network import make_instance, make_instances
+
+A1 = InstanceId('a1')
+NINE = ClaimView(1, make_instances(3, 3))
+THREE = ClaimView(1, make_instances(3, 1))
+
+FORMER = make_instances(3, 2)
+NEXT = tuple(make_instance(name) for name in 'a1 a3 b1 b3 c1 c3'.split())
+JOINT = ClaimView(2, NEXT, FORMER)
+AFTER = ClaimView(3, NEXT)
+
+
+def change_in_turn(
+    deployment: ClaimDeployment,
+    names: str,
+    view: ClaimView,
+) -> None:
+    """Restart instances one after another, each once the last votes."""
+    for name in names.split():
+        deployment.parts.pop(name, None)
+        deployment.start(name, view)
+        deployment.run(2, step=0.25)
+
+
+def claim_all(
+    deployment: ClaimDeployment,
+    name: str,
+    keys: Sequence[str],
+) -> None:
+    """Claim all jobs at one instance and wait for the verdicts."""
+    for key in keys:
+        deployment.claim(name, key)
+    deployment.run(3, step=0.02)
+    deployment.check_once()
+
+
+@pytest.fixture
+def three() -> ClaimDeployment:
+    return ClaimDeployment(THREE)
+
+
+@pytest.fixture
+def nine() -> ClaimDeployment:
+    return ClaimDeployment(NINE)
+
+
+class TestReplicas:
+    """Which instances vote."""
+
+    def test_one_in_each_zone(self) -> None:
+        for number in range(50):
+            chosen = replicas(make_job(f'j{number}'), NINE.instances)
+            assert sorted(name[0] for name in chosen) == ['a', 'b', 'c']
+
+    @pytest.mark.parametrize(
+        ('zones', 'each', 'count'),
+        [(1, 1, 1), (1, 2, 2), (1, 5, 3), (2, 2, 3), (5, 2, 3)],
+    )
+    def test_as_many_as_there_are(
+        self,
+        zones: int,
+        each: int,
+        count: int,
+    ) -> None:
+        chosen = replicas(make_job('j'), make_instances(zones, each))
+        assert len(set(chosen)) == count
+        assert len({name[0] for name in chosen}) == min(zones, count)
+
+    def test_order_of_instances_does_not_matter(self) -> None:
+        job = make_job('j')
+        turned = tuple(reversed(NINE.instances))
+        assert replicas(job, turned) == replicas(job, NINE.instances)
+
+
+class TestClaim:
+    """Nothing fails."""
+
+    def test_claimed_in_one_round_trip(self, nine: ClaimDeployment) -> None:
+        nine.claim('a1', 'j')
+        nine.run(0.01)
+        assert nine.last('a1') == Claimed(make_job('j'))
+
+    def test_resend_elsewhere_learns_the_holder(
+        self,
+        nine: ClaimDeployment,
+    ) -> None:
+        nine.claim('a1', 'j')
+        nine.run(0.01)
+        nine.claim('b2', 'j', b'other')
+        nine.run(0.01)
+        expected = AlreadyClaimed(make_job('j'), A1, 1, b'body', None)
+        assert nine.last('b2') == expected
+
+    def test_resend_gets_the_outcome(self, nine: ClaimDeployment) -> None:
+        nine.claim('a1', 'j')
+        nine.run(0.01)
+        nine.finish('a1', 'j')
+        nine.run(0.1)
+        nine.kill('a1')
+        nine.claim('c3', 'j')
+        nine.run(0.01)
+        expected = AlreadyClaimed(make_job('j'), A1, 1, b'body', b'done')
+        assert nine.last('c3') == expected
+
+    def test_outcome_outlives_a_lost_message(
+        self,
+        three: ClaimDeployment,
+    ) -> None:
+        three.claim('a1', 'j')
+        three.run(0.01)
+        three.network.part('a1', 'b1 c1')
+        three.finish('a1', 'j')
+        three.run(0.5)
+        three.network.heal()
+        three.run(1)
+        three.kill('a1')
+        three.claim('b1', 'j')
+        three.run(0.01)
+        assert three.last('b1').outcome == b'done'
+
+    def test_second_claim_at_the_holder(self, three: ClaimDeployment) -> None:
+        three.claim('a1', 'j')
+        three.run(0.01)
+        three.claim('a1', 'j')
+        three.run(0.01)
+        assert holder_of(three.last('a1')) == 'a1'
+        three.check_once()
+
+    @pytest.mark.parametrize('count', [1, 2])
+    def test_small_deployments(self, count: int) -> None:
+        small = ClaimDeployment(ClaimView(1, make_instances(1, count)))
+        small.claim('a1', 'j')
+        small.run(0.01)
+        assert small.last('a1') == Claimed(make_job('j'))
+
+
+class TestRace:
+    """Several claimants at once."""
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_three_claimants(self, seed: int) -> None:
+        racers = ClaimDeployment(NINE, seed=seed)
+        racers.network.jitter = 0.01
+        for name in ('a1', 'b2', 'c3'):
+            racers.claim(name, 'j')
+        racers.run(2.5)
+        racers.check_once()
+        assert len(racers.claimed) == 1
+        holders = {
+            effect.holder
+            for _, effect in racers.told
+            if isinstance(effect, AlreadyClaimed)
+        }
+        assert holders == {racers.claimed[0][0]}
+
+    def test_split_vote_with_a_replica_down(
+        self,
+        three: ClaimDeployment,
+    ) -> None:
+        three.kill('c1')
+        three.network.delay = 0.02
+        three.claim('a1', 'j')
+        three.claim('b1', 'j')
+        three.run(3)
+        assert not three.claimed
+        assert is_given_up(three.last('a1'))
+        assert is_given_up(three.last('b1'))
+
+
+class TestNoMajority:
+    """Replicas that can't be reached or don't vote."""
+
+    def test_cut_off_zone(self, three: ClaimDeployment) -> None:
+        three.network.part('a1', 'b1 c1')
+        three.claim('a1', 'j')
+        three.run(3)
+        assert is_given_up(three.last('a1'))
+        three.claim('b1', 'j')
+        three.run(0.1)
+        assert three.last('b1') == Claimed(make_job('j'))
+
+    def test_given_up_claim_is_never_granted_later(
+        self,
+        three: ClaimDeployment,
+    ) -> None:
+        three.network.cut('b1 c1', 'a1')
+        three.claim('a1', 'j')
+        three.run(3)
+        assert is_given_up(three.last('a1'))
+        three.network.heal()
+        three.claim('b1', 'j')
+        three.run(1)
+        assert holder_of(three.last('b1')) == 'a1'
+        assert not three.claimed
+        three.claim('a1', 'j')
+        three.run(1)
+        assert three.claimed == [('a1', make_job('j'))]
+
+    def test_late_votes_do_not_grant(self, three: ClaimDeployment) -> None:
+        three.network.delay = 5
+        three.claim('a1', 'j')
+        three.run(30, step=0.1)
+        assert is_given_up(three.last('a1'))
+        assert not three.claimed
+
+    def test_one_of_two_down(self) -> None:
+        pair = ClaimDeployment(ClaimView(1, make_instances(1, 2)))
+        pair.kill('a2')
+        pair.claim('a1', 'j')
+        pair.run(3)
+        assert is_given_up(pair.last('a1'))
+
+    def test_full_replicas_refuse(self) -> None:
+        own = make_instance('a1', 1)
+        claims = Claims(
+            own,
+            ClaimView(1, (own,)),
+            limits=Limits(jobs=1),
+            now=0,
+        )
+        claims.claim(make_job('j1'), b'', now=0)
+        assert not claims.claim(make_job('j2'), b'', now=0)
+        expected = NoMajority(make_job('j2'), (Answer.full,))
+        assert claims.tick(now=3) == (expected,)
+
+
+class TestMemoryLoss:
+    """Replicas restart with empty memory."""
+
+    def test_two_failures_in_turn_lose_no_claim(
+        self,
+        three: ClaimDeployment,
+    ) -> None:
+        three.network.cut('a1', 'c1')
+        three.claim('a1', 'j')
+        three.run(0.01)
+        three.network.heal()
+        for name in ('a1', 'b1', 'a1', 'c1'):
+            three.kill(name)
+            three.start(name, THREE)
+            three.run(2)
+            assert three.parts[name].is_whole
+        three.claim('c1', 'j')
+        three.run(1)
+        assert holder_of(three.last('c1')) == 'a1'
+        three.check_once()
+
+    def test_two_at_once_do_not_vote(self, three: ClaimDeployment) -> None:
+        three.claim('a1', 'j')
+        three.run(0.01)
+        three.kill('a1', 'b1')
+        three.start('a1', THREE)
+        three.start('b1', THREE)
+        three.run(3)
+        three.claim('c1', 'k')
+        three.run(3)
+        given_up = three.last('c1')
+        assert isinstance(given_up, NoMajority)
+        assert Answer.not_ready in given_up.answers
+        three.run(LIMITS.lifetime, step=0.5)
+        three.claim('c1', 'k')
+        three.run(1)
+        assert three.last('c1') == Claimed(make_job('k'))
+
+    def test_votes_of_before_a_restart_are_void(self) -> None:
+        deployment = ClaimDeployment(NINE)
+        first, second, third = replicas(make_job('j'), NINE.instances)
+        early, late = sorted(set(deployment.parts) - {first, second, third})[:2]
+        deployment.network.cut(early, f'{second} {third}')
+        deployment.claim(early, 'j')
+        deployment.run(0.01)
+        deployment.kill(first)
+        deployment.start(first, NINE)
+        deployment.run(1)
+        assert deployment.parts[first].is_whole
+        deployment.network.heal()
+        deployment.network.cut(early, f'{first} {third}')
+        deployment.network.cut(late, second)
+        deployment.claim(late, 'j')
+        deployment.run(3)
+        deployment.check_once()
+        assert deployment.claimed == [(late, make_job('j'))]
+
+    def test_many_claims_are_handed_over_in_pages(
+        self,
+        three: ClaimDeployment,
+    ) -> None:
+        for number in range(1201):
+            three.claim('b1', f'j{number}')
+        three.run(0.1)
+        three.kill('a1')
+        three.start('a1', THREE)
+        three.run(1)
+        assert three.parts['a1'].is_whole
+        assert len(three.parts['a1']) == 1201
+
+
+class TestLifetime:
+    """Memory is bounded by time."""
+
+    def test_expiry_from_the_outcome(self, three: ClaimDeployment) -> None:
+        three.claim('a1', 'j')
+        three.run(LIMITS.lifetime / 2, step=0.5)
+        three.finish('a1', 'j')
+        three.run(LIMITS.lifetime * 0.75, step=0.5)
+        assert len(three.parts['b1']) == 1
+        three.run(LIMITS.lifetime / 2, step=0.5)
+        assert not len(three.parts['b1'])
+
+    def test_outcome_beyond_the_bound_is_left_out(self) -> None:
+        own = make_instance('a1', 1)
+        claims = Claims(
+            own,
+            ClaimView(1, (own,)),
+            limits=Limits(outcome_bytes=3),
+            now=0,
+        )
+        claims.claim(make_job('j'), b'', now=0)
+        claims.record_outcome(make_job('j'), b'long')
+        claims.tick(now=1)
+        again = claims.claim(make_job('j'), b'', now=1)
+        expected = AlreadyClaimed(make_job('j'), own.instance, 1, b'', None)
+        assert again == (expected,)
+
+
+class TestViewChange:
+    """The configured instances change while claims are alive."""
+
+    def test_claims_survive_the_change(self) -> None:
+        keys = [f'j{number}' for number in range(40)]
+        deployment = ClaimDeployment(ClaimView(1, FORMER))
+        for key in keys:
+            deployment.claim('a1', key)
+        deployment.run(0.1)
+        change_in_turn(deployment, 'a3 b3 c3', JOINT)
+        deployment.run(LIMITS.lifetime / 2, step=0.25)
+        for key in keys:
+            deployment.finish('a1', key)
+        deployment.run(LIMITS.lifetime / 2 + 2, step=0.25)
+        change_in_turn(deployment, 'a1 a2 b1 b2 c1 c2', JOINT)
+        claim_all(deployment, 'c3', keys)
+        assert len(deployment.claimed) == len(keys)
+        assert isinstance(deployment.last('c3'), AlreadyClaimed)
+
+    def test_claims_of_the_joint_view_survive_its_end(self) -> None:
+        keys = [f'j{number}' for number in range(40)]
+        deployment = ClaimDeployment(JOINT)
+        for extra in ('a2', 'b2', 'c2'):
+            deployment.start(extra, JOINT)
+            deployment.parts[extra].assume_fresh()
+        deployment.run(LIMITS.lifetime - 10, step=0.25)
+        claim_all(deployment, 'a1', keys)
+        deployment.run(11, step=0.25)
+        deployment.kill('a2', 'b2', 'c2')
+        change_in_turn(deployment, 'a1 a3 b1 b3 c1 c3', AFTER)
+        claim_all(deployment, 'b3', keys)
+        assert len(deployment.claimed) == len(keys)
+        assert isinstance(deployment.last('b3'), AlreadyClaimed)
+
+    def test_end_of_a_change_waits_for_the_lifetime(self) -> None:
+        deployment = ClaimDeployment(JOINT)
+        deployment.kill('a1')
+        deployment.start('a1', ClaimView(3, NEXT))
+        deployment.run(3)
+        assert not deployment.parts['a1'].is_whole
+
+    def test_claimant_two_views_behind_is_refused(self) -> None:
+        deployment = ClaimDeployment(ClaimView(3, FORMER))
+        deployment.start('a1', ClaimView(1, FORMER))
+        deployment.claim('a1', 'j')
+        deployment.run(3)
+        given_up = deployment.last('a1')
+        assert isinstance(given_up, NoMajority)
+        assert Answer.stale_view in given_up.answers
+
+
+class TestBytes:
+    """What a claim costs."""
+
+    def test_six_frames_a_claim(self, nine: ClaimDeployment) -> None:
+        own = next(
+            name
+            for name in nine.parts
+            if name not in replicas(make_job('j'), NINE.instances)
+        )
+        effects = nine.parts[own].claim(make_job('j'), bytes(16), now=0)
+        assert len([one for one in effects if isinstance(one, Send)]) == 3
+        nine.apply(own, effects, 0)
+        nine.run(0.01)
+        assert nine.network.frames == 6
