Add the tool: submit a sheet, and ask instances about themselves

Cause: operators drive the system by one sheet, from whichever instance can be reached, and have to see what each knows.

Change: a client that falls back to the next instance on a lost connection or 503; shapes of the operators' bodies, documented with examples that a test reads; commands and queries as packages apart; the tool by fire, with tables, JSON and typed exit codes. fire calls a command before it finds a wrong later argument, so commands return an action that is performed once the whole line is understood: a misspelt flag no longer submits a sheet.

--- a/src/cuminstack/cli/__init__.py
+++ b/src/cuminstack/cli/__init__.py
@@ -1,1 +1,8 @@
-"""The command-line tool."""
+"""The command-line tool `cuminstack`."""
+
+from cuminstack.cli._exit import ExitCode
+from cuminstack.cli._program import main, run
+from cuminstack.cli._tables import render_table
+from cuminstack.cli._views import render
+
+__all__ = ('ExitCode', 'main', 'render', 'render_table', 'run')
--- /dev/null
+++ b/src/cuminstack/cli/_views.py
@@ -0,0 +1,223 @@
+"""What people see of an answer."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from cuminstack.cli._tables import Row, render_table
+from cuminstack.commands import SheetReply
+from cuminstack.core import ServiceRef
+from cuminstack.metrics import (
+    HistogramSnapshot,
+    Measure,
+    MetricsSnapshot,
+    summarise,
+)
+from cuminstack.queries import (
+    EndpointsView,
+    MembersView,
+    StatusView,
+)
+
+_View = TypeVar('_View')
+_Renderer = Callable[[Any], str]
+_renderers: dict[type[Any], _Renderer] = {}
+
+
+def _renders(
+    view: type[_View],
+) -> Callable[[Callable[[_View], str]], Callable[[_View], str]]:
+    def decorator(function: Callable[[_View], str]) -> Callable[[_View], str]:
+        _renderers[view] = function
+        return function
+
+    return decorator
+
+
+def render(view: object) -> str:
+    """Give an answer as text for people."""
+    return _renderers[view.__class__](view)
+
+
+@_renders(SheetReply)
+def _render_reply(reply: SheetReply) -> str:
+    told = reply.outcome.value.replace('_', ' ')
+    return f'{told}: version {reply.version}, digest {reply.digest}'
+
+
+@_renders(StatusView)
+def _render_status(status: StatusView) -> str:
+    return '\n'.join((_fact_table(status), '', _instance_table(status)))
+
+
+def _fact_table(status: StatusView) -> str:
+    sheet = status.sheet
+    load = status.load
+    standing = sheet.standing.value
+    facts = (
+        ('instance', status.instance),
+        ('zone', status.zone),
+        ('region', status.region),
+        ('uptime', f'{status.uptime_ms} ms'),
+        ('ready', status.ready),
+        ('draining', status.draining),
+        ('policy', status.policy),
+        ('sheet', f'version {sheet.version}, {standing}'),
+        ('digest', sheet.digest),
+        ('jobs running', load.jobs_running),
+        ('tasks queued', load.tasks_queued),
+        ('tasks running', load.tasks_running),
+        ('endpoints', load.endpoints),
+        ('slots busy', f'{load.slots_busy} of {load.slots}'),
+        ('log lines dropped', status.log_lines_dropped),
+    )
+    return render_table(('fact', 'value'), facts)
+
+
+def _instance_table(status: StatusView) -> str:
+    return render_table(
+        ('instance', 'zone', 'state', 'replica', 'sheet'),
+        [
+            (
+                each.instance,
+                each.zone,
+                each.state.value,
+                each.replica,
+                each.sheet_version,
+            )
+            for each in status.instances
+        ],
+    )
+
+
+@_renders(MembersView)
+def _render_members(view: MembersView) -> str:
+    return render_table(
+        (
+            'member',
+            'share',
+            'max slots',
+            'max queued',
+            'slots held',
+            'queued',
+            'jobs',
+            'services',
+        ),
+        [
+            (
+                each.member,
+                each.share,
+                each.max_slots,
+                each.max_queued,
+                each.slots_held,
+                each.tasks_queued,
+                each.jobs_running,
+                ' '.join(each.services),
+            )
+            for each in view.members
+        ],
+    )
+
+
+@_renders(EndpointsView)
+def _render_endpoints(view: EndpointsView) -> str:
+    return render_table(
+        (
+            'endpoint',
+            'zone',
+            'state',
+            'health',
+            'busy',
+            'slots',
+            'connections',
+            'owner',
+            'announced ms ago',
+            'serves',
+        ),
+        [
+            (
+                each.endpoint,
+                each.zone,
+                each.state.value,
+                each.health.value,
+                each.busy,
+                each.slots,
+                each.connections,
+                each.owner,
+                each.announced_ms_ago,
+                ' '.join(map(_text_of, each.serves)),
+            )
+            for each in view.endpoints
+        ],
+    )
+
+
+def _text_of(service: ServiceRef) -> str:
+    return f'{service.member}/{service.service}'
+
+
+@_renders(MetricsSnapshot)
+def _render_metrics(found: MetricsSnapshot) -> str:
+    tables = (
+        _histogram_table(found),
+        _tally_table(found),
+        _message_table(found),
+        _waste_table(found),
+    )
+    instances = ' '.join(found.instances)
+    return '\n\n'.join((f'instances: {instances}', *tables))
+
+
+def _histogram_table(found: MetricsSnapshot) -> str:
+    headers = (
+        'member',
+        'service',
+        'measure',
+        'count',
+        'mean',
+        'p50',
+        'p90',
+        'p99',
+        'p99.9',
+        'largest',
+    )
+    return render_table(headers, sorted(map(_histogram_row, found.histograms)))
+
+
+def _histogram_row(found: HistogramSnapshot) -> Row:
+    service = found.service
+    measure = found.measure.value
+    unit = '' if found.measure is Measure.response_ratio else ' s'
+    figures = dataclasses.astuple(summarise(found))
+    return (service.member, service.service, f'{measure}{unit}', *figures)
+
+
+def _tally_table(found: MetricsSnapshot) -> str:
+    rows = [
+        (
+            each.service.member,
+            each.service.service,
+            each.tally.value,
+            each.count,
+        )
+        for each in found.tallies
+    ]
+    headers = ('member', 'service', 'what', 'count')
+    return render_table(headers, sorted(rows))
+
+
+def _message_table(found: MetricsSnapshot) -> str:
+    rows = [
+        (each.kind.value, each.direction.value, each.count, each.size)
+        for each in found.messages
+    ]
+    headers = ('messages', 'direction', 'count', 'bytes')
+    return render_table(headers, sorted(rows))
+
+
+def _waste_table(found: MetricsSnapshot) -> str:
+    rows = [
+        (each.cause.value, each.member or '-', each.count)
+        for each in found.waste
+    ]
+    return render_table(('wasted by', 'member', 'count'), sorted(rows))
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,161 @@
+"""The command-line tool, as a shell would call it."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from cuminstack.cli import ExitCode, render_table, run
+from cuminstack.client import Problem, SheetFaultView
+from operator_fixtures import SHEET, StandInInstance, dead_url
+
+FAULTY = Problem(
+    title='sheet faulty',
+    status=422,
+    not_run=True,
+    faults=(SheetFaultView(2, 3, 'a share above 0', 'many'),),
+)
+UNDECIDED = Problem(title='no quorum', status=503, not_run=False)
+
+
+async def call(*arguments: str) -> ExitCode:
+    """Run one command line beside the loop of the stand-ins."""
+    try:
+        await asyncio.to_thread(run, arguments)
+    except SystemExit as end:
+        assert isinstance(end.code, int)
+        return ExitCode(end.code)
+    return ExitCode.ok
+
+
+@pytest.fixture
+def sheet(tmp_path: Path) -> str:
+    path = tmp_path / 'sheet.csv'
+    path.write_bytes(SHEET)
+    return str(path)
+
+
+class TestQueries:
+    """Tables for people, JSON for programs."""
+
+    @pytest.mark.parametrize(
+        ('command', 'shown'),
+        [
+            ('status', 'telavi'),
+            ('members', 'order-desk'),
+            ('endpoints', 'tkemali/order-desk'),
+            ('histograms', 'response_ratio'),
+            ('sheet', 'sheet,7,6'),
+        ],
+    )
+    async def test_table(
+        self,
+        command: str,
+        shown: str,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        async with StandInInstance('a') as one:
+            assert await call(command, '--instance', one.url) is ExitCode.ok
+        assert shown in capsys.readouterr().out
+
+    async def test_json(self, capsys: pytest.CaptureFixture[str]) -> None:
+        async with StandInInstance('a') as one:
+            await call('members', '--json', f'--instance={one.url}')
+        found = json.loads(capsys.readouterr().out)
+        assert found['members'][0]['member'] == 'tkemali'
+
+    async def test_histograms_name_the_missing(
+        self,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        dead = dead_url()
+        async with StandInInstance('a') as one:
+            instances = f'{one.url},{dead}'
+            code = await call('histograms', '--instance', instances)
+        assert code is ExitCode.ok
+        assert dead in capsys.readouterr().err
+
+
+class TestSubmit:
+    """A sheet goes out as it stands in the file."""
+
+    async def test_accepted(
+        self,
+        sheet: str,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        async with StandInInstance('a') as one:
+            code = await call(
+                'submit',
+                sheet,
+                '--instance',
+                f'{dead_url()},{one.url}',
+            )
+        assert code is ExitCode.ok
+        assert one.submitted == [SHEET]
+        assert 'in force: version 7' in capsys.readouterr().out
+
+    async def test_faults_are_listed(
+        self,
+        sheet: str,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        async with StandInInstance('a', problem=FAULTY) as one:
+            code = await call('submit', sheet, '--instance', one.url)
+        assert code is ExitCode.refused
+        assert 'row 2, column 3' in capsys.readouterr().err
+
+    async def test_misspelt_flag_sends_nothing(self, sheet: str) -> None:
+        async with StandInInstance('a') as one:
+            code = await call('submit', sheet, '--instances', one.url)
+            assert code is ExitCode.usage
+            code = await call('submit', sheet, '-i', one.url, 'again')
+            assert code is ExitCode.usage
+        assert not one.submitted
+
+    async def test_undecided_is_no_refusal(self, sheet: str) -> None:
+        async with StandInInstance('a', problem=UNDECIDED) as one:
+            code = await call('submit', sheet, '--instance', one.url)
+        assert code is ExitCode.unreachable
+
+
+class TestExitCodes:
+    """Scripts can tell the ends apart."""
+
+    @pytest.mark.parametrize(
+        ('arguments', 'code'),
+        [
+            (('submit', 'no-such-file.csv'), ExitCode.usage),
+            (('status', '--instance', 'nowhere'), ExitCode.usage),
+            (('status', '--timeout', 'long'), ExitCode.usage),
+            (('no-such-command',), ExitCode.usage),
+            (('status', '--no-such-flag'), ExitCode.usage),
+        ],
+    )
+    async def test_usage(
+        self,
+        arguments: tuple[str, ...],
+        code: ExitCode,
+    ) -> None:
+        assert await call(*arguments) is code
+
+    async def test_unreachable(self) -> None:
+        code = await call('status', '--instance', dead_url())
+        assert code is ExitCode.unreachable
+
+
+class TestTable:
+    """Columns line up."""
+
+    def test_alignment(self) -> None:
+        text = render_table(
+            ('name', 'count'),
+            [('a', 1), ('longer', 20), ('none', None)],
+        )
+        assert text.splitlines() == [
+            'name    count',
+            'a           1',
+            'longer     20',
+            'none        -',
+        ]
--- /dev/null
+++ b/tests/test_queries.py
@@ -0,0 +1,53 @@
+"""The page on the interfaces shows bodies that the tool reads."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from cuminstack.commands import SheetReply
+from cuminstack.metrics import MetricsSnapshot
+from cuminstack.queries import EndpointsView, MembersView, StatusView
+
+PAGE = Path(__file__).parent.parent / 'docs/PROTOCOL.md'
+
+
+def example_of(path: str) -> str:
+    """Give the indented block that follows `GET path`:."""
+    text = PAGE.read_text(encoding='utf-8')
+    _, _, rest = text.partition(f'`GET {path}`:\n\n')
+    lines = []
+    for line in rest.splitlines():
+        if not line.startswith('    '):
+            break
+        lines.append(line)
+    return '\n'.join(lines)
+
+
+class TestExamples:
+    """Every example is exactly what the shapes encode."""
+
+    @pytest.mark.parametrize(
+        ('path', 'shape'),
+        [
+            ('/v1/status', StatusView),
+            ('/v1/members', MembersView),
+            ('/v1/endpoints', EndpointsView),
+            ('/v1/histograms', MetricsSnapshot),
+        ],
+    )
+    def test_round_trip(self, path: str, shape: type[Any]) -> None:
+        example = example_of(path)
+        read = msgspec.json.decode(example, type=shape)
+        written = json.loads(msgspec.json.encode(read))
+        assert written == json.loads(example)
+
+    def test_reply_to_a_sheet(self) -> None:
+        text = PAGE.read_text(encoding='utf-8')
+        found = re.search(r'200 `(\{"outcome": "in_force".*\})`', text)
+        assert found is not None
+        reply = msgspec.json.decode(found.group(1), type=SheetReply)
+        assert reply.version == 1
