Raise plain dataclass exceptions

Cause: contextlib sets __traceback__ on what passes through an asynccontextmanager, which a frozen dataclass with slots answers with a TypeError, and the failure is lost. Change: the exceptions of bench are not frozen.

--- a/bench/_deployment_options.py
+++ b/bench/_deployment_options.py
@@ -16,7 +16,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class NotReady(Exception):
     """A process did not get ready, or ended at its start."""
 
@@ -27,7 +27,7 @@
         return f'{self.name} is not ready; its log:\n{self.log}'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class SheetNotAccepted(Exception):
     """An instance did not accept the sheet."""
 
--- a/bench/_tasks.py
+++ b/bench/_tasks.py
@@ -24,14 +24,14 @@
     refused_before = 'refused-before'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class DuplicateTask(Exception):
     """The task id was started before."""
 
     task: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class NotStarted(Exception):
     """The task was refused and will never start under its id."""
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -26,6 +26,8 @@
 
 __all__ = (
     'SHEET',
+    'DeployedEndpoint',
+    'DeployedInstance',
     'Deployment',
     'DeploymentOptions',
     'NotReady',
