--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -9,7 +9,7 @@
     SameAgain,
     Stale,
 )
-from fakes_network import Network, make_sheet
+from fakes_register_network import Network, make_sheet
 
 
 def _ready(replicas: int = 3, others: int = 2) -> Network:
