Agree on the sheet and claim keyed jobs before their first start

Cause: any instance took any job, and a resend elsewhere ran it again. Change: desks for the sheet (quorum register, spread, disk of a replica) and for claims (majority of three, next run of an idempotent job whose holder is gone); a gate that checks submissions against the sheet; operators' queries. A new deployment would have waited a claim's lifetime before its first keyed job: a quorum read that finds no sheet ever in force now tells the claim replicas that they are fresh.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -2,24 +2,22 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable, Coroutine, Iterable
 from contextlib import AsyncExitStack, suppress
 from typing import Any, Final
 
 from aiohttp import web
 
-from cuminstack.core import Instance
+from cuminstack.daemon._assembly import make_node
 from cuminstack.daemon._callers import CallerInterface
-from cuminstack.daemon._driver import Driver
+from cuminstack.daemon._driver import Driver, log_rejected
 from cuminstack.daemon._endpoints import EndpointInterface
 from cuminstack.daemon._links import Hello, PeerLink, PeerListener
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
-from cuminstack.membership import Timing
-from cuminstack.node import Node, NodeOptions
-from cuminstack.settings import Address, Settings, TimeoutSettings
-from cuminstack.slots import make_policy
+from cuminstack.daemon._sheets import SheetKeeper
+from cuminstack.settings import Address, Settings
+from cuminstack.store import DurableFile
 
 Hook = Callable[[], None]
 
@@ -72,7 +70,10 @@
             await self._drain(driver)
 
     async def _open(self) -> Driver:
-        node = self._make_node()
+        folder = self._settings.instance.data_folder
+        store = None if folder is None else DurableFile(folder)
+        now = asyncio.get_running_loop().time()
+        node = make_node(self._settings, store, now=now)
         driver = Driver(
             node,
             Observer(node.own.instance),
@@ -80,32 +81,11 @@
         )
         await self._open_sender(driver)
         await self._open_peers(driver)
-        await self._open_interfaces(driver)
+        await self._open_interfaces(driver, SheetKeeper(driver, store))
+        driver.start()
         self._background(driver.run())
         return driver
 
-    def _make_node(self) -> Node:
-        settings = self._settings
-        own = make_instance(settings)
-        policy = make_policy(
-            settings.dispatch.policy,
-            own,
-            seed=settings.dispatch.seed,
-        )
-        lease = settings.timeouts.endpoint_lease_ms / _MILLISECONDS
-        options = NodeOptions(
-            endpoint_lease=lease,
-            max_running_jobs=settings.limits.max_running_jobs,
-            outcome_lifetime=settings.limits.outcome_lifetime_seconds,
-            timing=make_timing(settings.timeouts),
-        )
-        return Node(
-            own,
-            peers=make_peers(settings),
-            policy=policy,
-            options=options,
-        )
-
     async def _open_sender(self, driver: Driver) -> None:
         sender = TaskSender(
             driver.finished,
@@ -132,16 +112,20 @@
         listener = PeerListener(
             frozenset(peer.name for peer in self._settings.other_peers),
             receive=driver.receive,
-            reject=driver.rejected,
+            reject=log_rejected,
         )
         await listener.start(self._settings.listen.peers)
         self._stack.push_async_callback(listener.stop)
 
-    async def _open_interfaces(self, driver: Driver) -> None:
+    async def _open_interfaces(
+        self,
+        driver: Driver,
+        keeper: SheetKeeper,
+    ) -> None:
         endpoints = EndpointInterface(
             driver,
-            limits=self._settings.limits,
-            timeouts=self._settings.timeouts,
+            keeper,
+            self._settings,
         )
         callers = CallerInterface(driver, self._settings.limits)
         self.on_drain(endpoints.stop_accepting)
@@ -175,42 +159,6 @@
         self._stack.push_async_callback(_cancel, running)
 
 
-def make_instance(settings: Settings) -> Instance:
-    """Describe this instance as its peers will know it."""
-    return Instance(
-        instance=settings.instance.name,
-        zone=settings.instance.zone,
-        incarnation=time.time_ns() // _NANOSECONDS,
-        peer_address=str(settings.listen.peers),
-        endpoint_address=str(settings.listen.endpoints),
-        replica=settings.is_replica,
-    )
-
-
-def make_peers(settings: Settings) -> tuple[Instance, ...]:
-    """Describe the instances that the settings list."""
-    return tuple(
-        Instance(
-            instance=peer.name,
-            zone=peer.zone,
-            incarnation=0,
-            peer_address=str(peer.peer_address),
-            endpoint_address=str(peer.endpoint_address),
-            replica=peer.replica,
-        )
-        for peer in settings.other_peers
-    )
-
-
-def make_timing(timeouts: TimeoutSettings) -> Timing:
-    """Give the time-outs of the failure detector."""
-    return Timing(
-        interval=timeouts.heartbeat_ms / _MILLISECONDS,
-        eager=timeouts.suspect_ms / _MILLISECONDS,
-        patient=timeouts.gone_ms / _MILLISECONDS,
-    )
-
-
 def _call(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
         hook()
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -5,10 +5,10 @@
 import signal
 from collections import defaultdict
 from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from typing import Any
 
 from cuminstack import wire
-from cuminstack.core import EndpointRecord, InstanceId, JobId, Send, TaskId
+from cuminstack.core import EndpointRecord, InstanceId, JobId, Send
 from cuminstack.daemon._links import PeerLink
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import AttemptEnd, TaskSender
@@ -31,19 +31,8 @@
 )
 from cuminstack.settings import LogLevel
 
-_MILLISECONDS: Final = 1000
-
 _Waiters = list['asyncio.Future[Outcome]']
-_Method = TypeVar('_Method', bound=Callable[..., None])
-_performers: dict[type[Any], str] = {}
-
-
-def _performs(effect: type[Any]) -> Callable[[_Method], _Method]:
-    def decorator(method: _Method) -> _Method:
-        _performers[effect] = method.__name__
-        return method
-
-    return decorator
+_Performer = Callable[[Any], None]
 
 
 class Driver:
@@ -71,6 +60,14 @@
         self._waiting: defaultdict[JobId, _Waiters] = defaultdict(list)
         self._idle = asyncio.Event()
         self._lag = float(0)
+        self._performers: dict[type[Any], _Performer] = {
+            JobEnded: self._job_ended,
+            RoutableChanged: self._routable_changed,
+            Send: self._send,
+            SendStart: self._send_start,
+            StopStarted: self._stop_started,
+            Superseded: _end_process,
+        }
 
     @property
     def node(self) -> Node:
@@ -92,6 +89,10 @@
         """How late the last tick was, in seconds."""
         return self._lag
 
+    def on_effect(self, effect: type[Any], performer: _Performer) -> None:
+        """Have an effect of the node performed by another object."""
+        self._performers[effect] = performer
+
     def connect(
         self,
         sender: TaskSender,
@@ -101,6 +102,14 @@
         self._sender = sender
         self._links = links
 
+    def start(self) -> None:
+        """Begin; call once everything that performs effects is there."""
+        self.perform(self._node.start(now=self.now))
+
+    def drain(self) -> None:
+        """Take no new work."""
+        self.perform(self._node.drain(now=self.now))
+
     def submit(self, request: JobRequest) -> asyncio.Future[Outcome]:
         """Submit a job; the future gives its outcome."""
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
@@ -147,19 +156,6 @@
             raise wire.UnknownKind(str(error)) from error
         self.perform(effects)
 
-    def rejected(self, sender: InstanceId | None, error: Exception) -> None:
-        """Take note of a link that was closed because of a bad frame."""
-        log_event(
-            'link.rejected',
-            LogLevel.warning,
-            peer=sender or 'unknown',
-            error=error,
-        )
-
-    def drain(self) -> None:
-        """Take no new work."""
-        self.perform(self._node.drain(now=self.now))
-
     def finished(self, sent: SendStart, ended: AttemptEnd) -> None:
         """Take the end of an attempt."""
         self._observer.finished(sent, ended, now=self.now)
@@ -173,9 +169,9 @@
         self.perform(effects)
 
     def perform(self, effects: Effects) -> None:
-        """Perform the node's outward effects."""
+        """Perform the node's outward effects, in their order."""
         for effect in effects:
-            getattr(self, _performers[type(effect)])(effect)
+            self._performers[type(effect)](effect)
 
     async def idle(self) -> None:
         """Wait until no caller waits for a job."""
@@ -193,7 +189,6 @@
             if not self._node.busy:
                 self._idle.set()
 
-    @_performs(Send)
     def _send(self, effect: Send) -> None:
         link = self._links.get(effect.to)
         if link is not None and link.is_open:
@@ -201,7 +196,6 @@
             self._observer.sent_frame(effect.message, len(frame))
             link.send(frame)
 
-    @_performs(SendStart)
     def _send_start(self, effect: SendStart) -> None:
         record = self._node.directory.get(effect.endpoint)
         self._observer.sent(effect, now=self.now)
@@ -212,14 +206,11 @@
             return
         self._sender.start(effect, record)
 
-    @_performs(StopStarted)
     def _stop_started(self, effect: StopStarted) -> None:
         record = self._node.directory.get(effect.endpoint)
-        tasks: tuple[TaskId, ...] = effect.tasks
         if record is not None and self._sender is not None:
-            self._sender.stop(record, tasks)
+            self._sender.stop(record, effect.tasks)
 
-    @_performs(RoutableChanged)
     def _routable_changed(self, effect: RoutableChanged) -> None:
         log_event(
             'membership.routable',
@@ -232,14 +223,28 @@
                 # It may be the link that went silent, not the instance.
                 link.reset()
 
-    @_performs(Superseded)
-    def _superseded(self, effect: Superseded) -> None:
-        log_event('membership.superseded', LogLevel.error)
-        os.kill(os.getpid(), signal.SIGTERM)
-
-    @_performs(JobEnded)
     def _job_ended(self, effect: JobEnded) -> None:
         self._observer.ended(effect, now=self.now)
         for waiter in self._waiting.pop(effect.job, ()):
             if not waiter.done():
                 waiter.set_result(effect.outcome)
+
+
+def log_rejected(sender: InstanceId | None, error: Exception) -> None:
+    """Take note of a link that was closed because of a bad frame."""
+    log_event(
+        'link.rejected',
+        LogLevel.warning,
+        peer=sender or 'unknown',
+        error=error,
+    )
+
+
+def _end_process(effect: Superseded) -> None:
+    """Shut down, as a later process has this instance's name."""
+    log_event(
+        'membership.superseded',
+        LogLevel.error,
+        incarnation=effect.incarnation,
+    )
+    os.kill(os.getpid(), signal.SIGTERM)
--- a/src/cuminstack/daemon/_endpoints.py
+++ b/src/cuminstack/daemon/_endpoints.py
@@ -9,7 +9,13 @@
 from cuminstack.daemon._middleware import errors_as_problems
 from cuminstack.daemon._problems import BadRequest, json_response
 from cuminstack.daemon._shapes import AnnounceBody, ReadyBody
-from cuminstack.settings import LimitSettings, TimeoutSettings
+from cuminstack.daemon._sheet_replies import faults_response, sheet_response
+from cuminstack.daemon._sheets import SheetKeeper
+from cuminstack.daemon._views import Views
+from cuminstack.settings import Settings
+from cuminstack.sheet import SheetFaults
+from cuminstack.sheet import parse as parse_sheet
+from cuminstack.spread import Freshness
 
 
 class EndpointInterface:
@@ -17,20 +23,21 @@
 
     Args:
         driver: Runs the node.
-        limits: Bounds on bodies.
-        timeouts: What endpoints are told to keep to.
+        keeper: Puts sheets in force.
+        settings: Bounds on bodies, and what endpoints are told to keep to.
     """
 
     def __init__(
         self,
         driver: Driver,
-        *,
-        limits: LimitSettings,
-        timeouts: TimeoutSettings,
+        keeper: SheetKeeper,
+        settings: Settings,
     ) -> None:
         self._driver = driver
-        self._limits = limits
-        self._timeouts = timeouts
+        self._keeper = keeper
+        self._limits = settings.limits
+        self._timeouts = settings.timeouts
+        self._views = Views(driver, settings)
         self._is_ready = True
 
     def application(self) -> web.Application:
@@ -45,6 +52,11 @@
         )
         application.router.add_get('/v1/ready', self._ready)
         application.router.add_get('/v1/histograms', self._histograms)
+        application.router.add_get('/v1/status', self._status)
+        application.router.add_get('/v1/members', self._members)
+        application.router.add_get('/v1/endpoints', self._endpoints)
+        application.router.add_get('/v1/sheet', self._sheet)
+        application.router.add_put('/v1/sheet', self._put_sheet)
         return application
 
     def stop_accepting(self) -> None:
@@ -69,12 +81,36 @@
         )
         return json_response(body)
 
+    async def _put_sheet(self, request: web.Request) -> web.Response:
+        sheet = parse_sheet(await request.read())
+        if isinstance(sheet, SheetFaults):
+            return faults_response(sheet)
+        return sheet_response(await self._keeper.submit(sheet))
+
+    async def _sheet(self, _: web.Request) -> web.Response:
+        sheet = self._driver.node.sheets.sheet
+        if not sheet.version:
+            raise BadRequest(HTTPStatus.NOT_FOUND, 'no-sheet')
+        return web.Response(body=sheet.canonical, content_type='text/csv')
+
+    async def _status(self, _: web.Request) -> web.Response:
+        return json_response(self._views.status(ready=self._is_ready))
+
+    async def _members(self, _: web.Request) -> web.Response:
+        return json_response(self._views.members())
+
+    async def _endpoints(self, _: web.Request) -> web.Response:
+        return json_response(self._views.endpoints())
+
     async def _histograms(self, _: web.Request) -> web.Response:
         return json_response(self._driver.observer.snapshot())
 
     async def _ready(self, _: web.Request) -> web.Response:
+        freshness = self._driver.node.sheets.freshness(now=self._driver.now)
+        is_asking = freshness is Freshness.asking
+        is_ready = self._is_ready and not is_asking
         status = HTTPStatus.OK
-        if not self._is_ready:
+        if not is_ready:
             status = HTTPStatus.SERVICE_UNAVAILABLE
         own = self._driver.node.own.instance
-        return json_response(ReadyBody(self._is_ready, own), status)
+        return json_response(ReadyBody(is_ready, own), status)
--- a/src/cuminstack/daemon/_hang_ups.py
+++ b/src/cuminstack/daemon/_hang_ups.py
@@ -16,13 +16,13 @@
 
     def __init__(self, *, grace: float) -> None:
         self._grace = grace
-        self._requests: defaultdict[JobId, set[web.Request]]
-        self._requests = defaultdict(set)
+        self._requests: defaultdict[JobId, list[web.Request]]
+        self._requests = defaultdict(list)
         self._alone_since: dict[JobId, float] = {}
 
     def connected(self, job: JobId, request: web.Request) -> None:
         """Take a caller that waits for a job."""
-        self._requests[job].add(request)
+        self._requests[job].append(request)
         self._alone_since.pop(job, None)
 
     def ended(self, job: JobId) -> None:
--- a/src/cuminstack/daemon/_middleware.py
+++ b/src/cuminstack/daemon/_middleware.py
@@ -1,5 +1,6 @@
 """What all HTTP interfaces have in common."""
 
+import traceback
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from types import MappingProxyType
@@ -13,6 +14,8 @@
     make_problem,
     problem_response,
 )
+from cuminstack.logs import log_event
+from cuminstack.settings import LogLevel
 
 _NAMES: Final = MappingProxyType(
     {
@@ -37,6 +40,21 @@
         return problem_response(error.problem)
     except web.HTTPException as error:
         return problem_response(_problem_of(error))
+    except Exception as error:
+        # A fault of ours: whether anything ran is not known here.
+        log_event(
+            'http.internal_error',
+            LogLevel.error,
+            path=request.path,
+            error=error,
+            traceback=traceback.format_exc(),
+        )
+        problem = make_problem(
+            'internal-error',
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            not_run=False,
+        )
+        return problem_response(problem)
 
 
 def _problem_of(error: web.HTTPException) -> Problem:
--- /dev/null
+++ b/src/cuminstack/daemon/_views.py
@@ -0,0 +1,151 @@
+"""What an instance tells operators about itself."""
+
+import time
+from typing import Final
+
+from cuminstack.core import EndpointRecord, EndpointState, InstanceId
+from cuminstack.daemon._driver import Driver
+from cuminstack.membership import Standing
+from cuminstack.queries import (
+    EndpointsView,
+    EndpointView,
+    InstanceState,
+    InstanceView,
+    LoadView,
+    MembersView,
+    MemberView,
+    SheetStanding,
+    SheetView,
+    StatusView,
+)
+from cuminstack.settings import Settings
+from cuminstack.spread import Freshness
+
+_NANOSECONDS: Final = 1_000_000
+
+
+class Views:
+    """Builds the views from the parts of a node.
+
+    Args:
+        driver: Runs the node.
+        settings: What the instance was told.
+    """
+
+    def __init__(self, driver: Driver, settings: Settings) -> None:
+        self._driver = driver
+        self._node = driver.node
+        self._settings = settings
+
+    def status(self, *, ready: bool) -> StatusView:
+        """Describe this instance, and what it knows of the others."""
+        own = self._node.own
+        return StatusView(
+            instance=own.instance,
+            zone=own.zone,
+            region=self._settings.instance.region,
+            incarnation=own.incarnation,
+            uptime_ms=time.time_ns() // _NANOSECONDS - own.incarnation,
+            ready=ready,
+            draining=not ready,
+            policy=self._settings.dispatch.policy,
+            sheet=self._sheet(),
+            load=self._load(),
+            instances=self._instances(),
+        )
+
+    def members(self) -> MembersView:
+        """Describe the members of the sheet in force here."""
+        sheet = self._node.sheets.sheet
+        members = tuple(
+            MemberView(
+                member=member.name,
+                share=member.share,
+                max_slots=member.max_slots,
+                max_queued=member.max_queued,
+                services=tuple(
+                    service.name
+                    for service in sheet.services
+                    if service.member == member.name
+                ),
+                tasks_queued=self._node.book.queued_of(member.name),
+            )
+            for member in sheet.members
+        )
+        return MembersView(self._node.own.instance, sheet.version, members)
+
+    def endpoints(self) -> EndpointsView:
+        """Describe every endpoint that is known here."""
+        owned = {each.endpoint: each for each in self._node.endpoints.owned}
+        views = tuple(
+            self._endpoint(owned.get(record.endpoint, record))
+            for record in self._node.directory.records
+        )
+        return EndpointsView(self._node.own.instance, views)
+
+    def _endpoint(self, record: EndpointRecord) -> EndpointView:
+        return EndpointView(
+            endpoint=record.endpoint,
+            incarnation=record.incarnation,
+            zone=record.zone,
+            url=record.url,
+            serves=record.serves,
+            slots=record.slots,
+            busy=record.busy,
+            connections=record.connections,
+            state=record.state,
+            owner=self._node.endpoints.owner_of(record).instance,
+        )
+
+    def _sheet(self) -> SheetView:
+        sheet = self._node.sheets.sheet
+        freshness = self._node.sheets.freshness(now=self._driver.now)
+        standing = SheetStanding.unconfirmed
+        if freshness is Freshness.confirmed:
+            standing = SheetStanding.confirmed
+        if not sheet.version:
+            standing = SheetStanding.absent
+        return SheetView(sheet.version, sheet.digest.hex(), standing)
+
+    def _load(self) -> LoadView:
+        records = self._node.directory.records
+        serving = [
+            record
+            for record in records
+            if record.state is EndpointState.serving
+        ]
+        return LoadView(
+            jobs_running=self._node.book.running,
+            tasks_queued=self._node.book.queued,
+            endpoints=len(records),
+            slots=sum(record.slots for record in serving),
+        )
+
+    def _instances(self) -> tuple[InstanceView, ...]:
+        own = self._node.own
+        peers = self._settings.other_peers
+        others = tuple(
+            InstanceView(
+                instance=peer.name,
+                zone=peer.zone,
+                state=self._state_of(peer.name),
+                replica=peer.replica,
+            )
+            for peer in peers
+        )
+        itself = InstanceView(
+            instance=own.instance,
+            zone=own.zone,
+            replica=own.replica,
+            sheet_version=self._node.sheets.sheet.version,
+        )
+        return (itself, *others)
+
+    def _state_of(self, name: InstanceId) -> InstanceState:
+        membership = self._node.membership
+        if any(each.instance == name for each in membership.routable):
+            return InstanceState.alive
+        record = membership.record_of(name)
+        if record is None or record.standing is Standing.gone:
+            return InstanceState.gone
+        return InstanceState.suspected
--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -64,6 +64,11 @@
         """Late or duplicate results, which were dropped."""
         return Strays(Counter(self._strays))
 
+    @property
+    def queued(self) -> int:
+        """Number of tasks that wait for a slot here."""
+        return self._queued.total()
+
     def queued_of(self, member: MemberName) -> int:
         """Count the tasks of a member that wait for a slot here."""
         return self._queued[member]
--- a/src/cuminstack/jobs/_job.py
+++ b/src/cuminstack/jobs/_job.py
@@ -25,6 +25,7 @@
 from cuminstack.slots import QueuedTask
 
 _FIRST_ATTEMPT: Final = 1
+_ATTEMPTS_PER_RUN: Final = 1_000_000
 
 
 class TaskState(enum.Enum):
@@ -58,7 +59,9 @@
     def __init__(self, request: JobRequest, *, accepted_at: float) -> None:
         self._request = request
         self._deadline = accepted_at + request.within
-        self._lives = [TaskLife() for _ in request.tasks]
+        # Attempts of different runs have different numbers.
+        first = _FIRST_ATTEMPT + request.run * _ATTEMPTS_PER_RUN
+        self._lives = [TaskLife(attempt=first) for _ in request.tasks]
         self._unanswered = len(request.tasks)
         self._retries = 0
         self._outcome: Outcome | None = None
--- a/src/cuminstack/jobs/_types.py
+++ b/src/cuminstack/jobs/_types.py
@@ -37,11 +37,14 @@
         service: What the tasks are of.
         tasks: At least one task.
         idempotent: Whether the caller allows the job to run anew.
-        within: Seconds from acceptance after which the job has failed.
+        within: Seconds from acceptance after which the job has failed; 0
+            if the sheet says.
         digest: Hash of the submission; tells a resend from another job
             under the same key.
         minted: Whether the key was made here, so that no resend can be
             under way at another instance.
+        run: Counts the runs of an idempotent job whose earlier holders are
+            gone, from 0.
     """
 
     job: JobId
@@ -51,6 +54,7 @@
     within: float
     digest: bytes
     minted: bool = False
+    run: int = 0
 
 
 class RefusalReason(enum.Enum):
--- a/src/cuminstack/node/__init__.py
+++ b/src/cuminstack/node/__init__.py
@@ -2,13 +2,14 @@
 
 from cuminstack.node._endpoints import AnnounceReply
 from cuminstack.node._gate import Gate, NodeOptions
-from cuminstack.node._node import Node
+from cuminstack.node._node import Node, NodeParts
 from cuminstack.node._peers import RoutableChanged
 from cuminstack.node._routing import (
     Effects,
     UnroutedEffect,
     UnroutedMessage,
 )
+from cuminstack.node._sheets import SheetApplied
 
 __all__ = (
     'AnnounceReply',
@@ -16,7 +17,9 @@
     'Gate',
     'Node',
     'NodeOptions',
+    'NodeParts',
     'RoutableChanged',
+    'SheetApplied',
     'UnroutedEffect',
     'UnroutedMessage',
 )
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -1,6 +1,6 @@
 """From a submission to a job in progress, here or at another instance."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from cuminstack.core import Instance, InstanceId, JobId, Send
@@ -130,6 +130,7 @@
         refusal = self._refusal(request, now=now)
         if refusal is not None:
             return refusal, ()
+        request = self._gate.complete(request)
         if request.minted:
             return None, self._book.open(request, now=now)
         self._claiming[request.job] = request
@@ -169,13 +170,11 @@
     def holder_gone(self, holder: InstanceId, *, now: float) -> Effects:
         """End what waits for an instance that is gone."""
         lost = [
-            forwarded.request.job
+            forwarded.request
             for forwarded in self._forwarded.values()
             if forwarded.holder == holder
         ]
-        for job in lost:
-            self._forwarded.pop(job)
-        return tuple(JobEnded(ended, _HOLDER_GONE) for ended in lost)
+        return tuple(map(self._take_over, lost))
 
     def tick(self, *, now: float) -> Effects:
         """Ask again where a forwarded job has not been answered."""
@@ -188,8 +187,9 @@
 
     @on_effect(ClaimTaken)
     def _claim_taken(self, effect: ClaimTaken, *, now: float) -> Effects:
-        request = self._claiming.pop(effect.request.job, None)
-        if request is None:
+        # The claim may be on a later run than the one that was asked for.
+        request = effect.request
+        if self._claiming.pop(request.job, None) is None:
             return ()
         return self._book.open(request, now=now)
 
@@ -221,7 +221,7 @@
         if effect.gone:
             return (JobEnded(request.job, _HOLDER_GONE),)
         forwarded = _Forwarded(
-            request,
+            effect.request,
             effect.holder,
             effect.incarnation,
             now,
@@ -294,6 +294,15 @@
         message = JobOutcome.of(ended.job, ended.outcome)
         return tuple(Send(peer, message) for peer in sorted(peers))
 
+    def _take_over(self, request: JobRequest) -> TakeClaim | JobEnded:
+        """Run an idempotent job anew; any other may have run, and is over."""
+        self._forwarded.pop(request.job)
+        if not request.idempotent:
+            return JobEnded(request.job, _HOLDER_GONE)
+        again = replace(request, run=request.run + 1)
+        self._claiming[request.job] = again
+        return TakeClaim(again)
+
     def _known(
         self,
         request: JobRequest,
@@ -303,7 +312,7 @@
             same = digest == request.digest
             return (None if same else _CONFLICT), ()
         kept = self._book.ended(request.job)
-        if kept is None or _may_run_again(kept.outcome):
+        if kept is None or may_run_again(kept.outcome):
             return None
         if kept.digest != request.digest:
             return _CONFLICT, ()
@@ -330,8 +339,8 @@
     return Send(forwarded.holder, message)
 
 
-def _may_run_again(outcome: Outcome) -> bool:
-    """A refused job was not run, so its key is free, unless cancelled."""
+def may_run_again(outcome: Outcome) -> bool:
+    """Tell whether a job's key is free: it was refused, not cancelled."""
     return (
         isinstance(outcome, Refused)
         and outcome.reason is not RefusalReason.cancelled
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any, Final
 
+from cuminstack.claims import Claims
 from cuminstack.core import (
     EndpointRecord,
     Instance,
@@ -29,43 +31,69 @@
     StopStarted,
 )
 from cuminstack.membership import Membership, Superseded
+from cuminstack.node._claims import ClaimDesk
 from cuminstack.node._dispatch import DispatchDesk
 from cuminstack.node._endpoints import AnnounceReply, EndpointDesk
-from cuminstack.node._gate import LoadGate, NodeOptions
+from cuminstack.node._gate import NodeOptions, SheetGate
 from cuminstack.node._intake import IntakeDesk
 from cuminstack.node._peers import PeerDesk, RoutableChanged
 from cuminstack.node._routing import Effects, Router
+from cuminstack.node._sheets import SheetApplied, SheetDesk
+from cuminstack.register import Done, Persist, Register
+from cuminstack.sheet import Sheet
 from cuminstack.slots import Policy
+from cuminstack.spread import Diverged, Spread
 
 #: Memory for the answers of ended jobs, in bytes.
 _OUTCOME_BYTES: Final = 33_554_432
 
 _OUTWARD: Final = (
+    Diverged,
+    Done,
+    JobEnded,
+    Persist,
+    RoutableChanged,
     Send,
     SendStart,
+    SheetApplied,
     StopStarted,
-    JobEnded,
-    RoutableChanged,
     Superseded,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class NodeParts:
+    """What a node is put together from.
+
+    Args:
+        peers: The other instances that the settings list.
+        policy: The dispatch policy.
+        register: The quorum register.
+        spread: Brings the sheet in force to every instance.
+        claims: The claimant and the claim replica.
+    """
+
+    peers: Sequence[Instance]
+    policy: Policy
+    register: Register
+    spread: Spread
+    claims: Claims
+
+
 class Node:
     """The deciding parts of one instance, put together.
 
     Args:
         own: This instance.
-        peers: The instances that the settings list.
-        policy: Its dispatch policy.
-        options: Times that it keeps to.
+        parts: What it is put together from.
+        options: Times and limits that it keeps to.
     """
 
     def __init__(
         self,
         own: Instance,
         *,
-        peers: Sequence[Instance],
-        policy: Policy,
+        parts: NodeParts,
         options: NodeOptions,
     ) -> None:
         outcomes = OutcomeStore(
@@ -73,30 +101,34 @@
             max_bytes=_OUTCOME_BYTES,
         )
         self._own = own
+        self._options = options
         self._book = JobBook(outcomes)
         self._directory = Directory()
-        self._policy = policy
-        self._router = Router(_OUTWARD)
-        self._dispatch = DispatchDesk(self._book, policy)
-        self._intake = IntakeDesk(
-            own, self._book, LoadGate(self._book, options)
-        )
+        self._membership = Membership(own, parts.peers, timing=options.timing)
+        self._dispatch = DispatchDesk(self._book, parts.policy)
+        self._sheets = SheetDesk(parts.register, parts.spread, parts.policy)
+        self._intake = self._make_intake()
         self._endpoints = EndpointDesk(
             own,
             lease=options.endpoint_lease,
             directory=self._directory,
         )
-        self._peers = PeerDesk(
+        self._claims = ClaimDesk(
             own,
-            membership=Membership(own, peers, timing=options.timing),
-            endpoints=self._endpoints,
-            intake=self._intake,
-            directory=self._directory,
-            policy=policy,
+            claims=parts.claims,
+            book=self._book,
+            membership=self._membership,
+        )
+        self._peers = self._make_peers(parts.policy)
+        self._router = Router(_OUTWARD)
+        self._router.add_all(
+            self._claims,
+            self._dispatch,
+            self._endpoints,
+            self._intake,
+            self._peers,
+            self._sheets,
         )
-        desks = (self._dispatch, self._intake, self._endpoints, self._peers)
-        for desk in desks:
-            self._router.add(desk)
 
     @property
     def own(self) -> Instance:
@@ -108,10 +140,25 @@
         """Every endpoint of the deployment."""
         return self._directory
 
+    @property
+    def endpoints(self) -> EndpointDesk:
+        """The endpoints that announce themselves here."""
+        return self._endpoints
+
     @property
     def membership(self) -> Membership:
         """Which instances are alive."""
-        return self._peers.membership
+        return self._membership
+
+    @property
+    def sheets(self) -> SheetDesk:
+        """The sheet in force."""
+        return self._sheets
+
+    @property
+    def book(self) -> JobBook:
+        """The jobs that were accepted here; for queries only."""
+        return self._book
 
     @property
     def busy(self) -> int:
@@ -130,6 +177,15 @@
         """Tell whether a job is in progress here, or was forwarded."""
         return self._intake.knows(job)
 
+    def start(self, *, now: float) -> Effects:
+        """Begin; call once before anything else."""
+        return self._settle(self._sheets.start(now=now), now=now)
+
+    def drain(self, *, now: float) -> Effects:
+        """Refuse new jobs from now on, and hand over what is owned."""
+        self._intake.stop_accepting()
+        return self._settle(self._membership.leave(now=now), now=now)
+
     def submit(
         self,
         request: JobRequest,
@@ -177,9 +233,20 @@
         reply, effects = self._endpoints.announce(record, now=now)
         return reply, self._settle(effects, now=now)
 
+    def put_sheet(self, sheet: Sheet, *, ticket: int, now: float) -> Effects:
+        """Submit a sheet; `Done` with the ticket tells the outcome."""
+        effects = self._sheets.submit(sheet, ticket=ticket, now=now)
+        return self._settle(effects, now=now)
+
+    def persisted(self, sequence: int, *, saved: bool, now: float) -> Effects:
+        """Take what became of a state that was to be synced."""
+        effects = self._sheets.persisted(sequence, saved=saved, now=now)
+        return self._settle(effects, now=now)
+
     def link_lost(self, peer: InstanceId, *, now: float) -> Effects:
         """Take the hint that a peer can't be reached."""
-        return self._settle(self._peers.link_lost(peer, now=now), now=now)
+        effects = self._membership.link_lost(peer, now=now)
+        return self._settle(effects, now=now)
 
     def receive(
         self,
@@ -193,31 +260,45 @@
         Raises:
             UnroutedMessage: No part handles messages of this type.
         """
-        return self._with_peers(
-            self._router.receive(sender, message, now=now),
-            now=now,
-        )
+        outward = self._router.receive(sender, message, now=now)
+        return self._with_peers(outward)
 
     def tick(self, *, now: float) -> Effects:
         """Do what is due."""
         effects = (
-            *self._dispatch.tick(now=now),
-            *self._intake.tick(now=now),
-            *self._endpoints.tick(now=now),
             *self._peers.tick(now=now),
+            *self._sheets.tick(now=now),
+            *self._claims.tick(now=now),
+            *self._endpoints.tick(now=now),
+            *self._intake.tick(now=now),
+            *self._dispatch.tick(now=now),
         )
         return self._settle(effects, now=now)
 
-    def drain(self, *, now: float) -> Effects:
-        """Refuse new jobs from now on, and hand over what is owned."""
-        self._intake.stop_accepting()
-        return self._settle(self._peers.leave(now=now), now=now)
+    def _make_intake(self) -> IntakeDesk:
+        gate = SheetGate(
+            self._sheets,
+            self._book,
+            self._directory,
+            self._options,
+        )
+        return IntakeDesk(self._own, self._book, gate)
+
+    def _make_peers(self, policy: Policy) -> PeerDesk:
+        return PeerDesk(
+            self._own,
+            membership=self._membership,
+            endpoints=self._endpoints,
+            intake=self._intake,
+            directory=self._directory,
+            policy=policy,
+            sheets=self._sheets,
+        )
 
     def _settle(self, effects: Effects, *, now: float) -> Effects:
-        outward = self._router.settle(effects, now=now)
-        return self._with_peers(outward, now=now)
+        return self._with_peers(self._router.settle(effects, now=now))
 
-    def _with_peers(self, outward: Effects, *, now: float) -> Effects:
+    def _with_peers(self, outward: Effects) -> Effects:
         """Add the messages to peers that wait for a job that ended."""
         told: list[Any] = []
         for effect in outward:
--- a/src/cuminstack/node/_peers.py
+++ b/src/cuminstack/node/_peers.py
@@ -16,6 +16,7 @@
 from cuminstack.node._endpoints import EndpointDesk
 from cuminstack.node._intake import IntakeDesk
 from cuminstack.node._routing import Effects, on_effect, on_message
+from cuminstack.node._sheets import SheetDesk
 from cuminstack.slots import Policy
 
 #: Pause between two comparisons with what peers advertised, in seconds.
@@ -45,6 +46,7 @@
         intake: The desk whose jobs may wait for a peer.
         directory: Where the endpoints of peers are listed.
         policy: The dispatch policy.
+        sheets: The desk that follows the sheet in force.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         intake: IntakeDesk,
         directory: Directory,
         policy: Policy,
+        sheets: SheetDesk,
     ) -> None:
         self._own = own
         self._membership = membership
@@ -63,6 +66,7 @@
         self._intake = intake
         self._directory = directory
         self._policy = policy
+        self._sheets = sheets
         self._advertised: dict[InstanceId, int] = {}
         self._alive: frozenset[tuple[InstanceId, int]] = frozenset()
         self._routable: frozenset[InstanceId] = frozenset()
@@ -83,7 +87,13 @@
 
     def tick(self, *, now: float) -> Effects:
         """Send what is due, and pull tables that are behind."""
-        self._membership.advertise(Summary(stamp=self._endpoints.version))
+        sheet = self._sheets.sheet
+        summary = Summary(
+            version=sheet.version,
+            digest=sheet.digest,
+            stamp=self._endpoints.version,
+        )
+        self._membership.advertise(summary)
         effects: Effects = self._membership.tick(now=now)
         if now - self._compared_at < _COMPARE_SECONDS:
             return effects
@@ -103,7 +113,14 @@
     @on_effect(PeerSummary)
     def _peer_summary(self, effect: PeerSummary, *, now: float) -> Effects:
         self._advertised[effect.sender] = effect.summary.stamp
-        return self._compare(effect.sender, now=now)
+        return (
+            *self._compare(effect.sender, now=now),
+            *self._sheets.observe_peer(
+                effect.sender,
+                effect.summary,
+                now=now,
+            ),
+        )
 
     @on_effect(ViewChanged)
     def _view_changed(self, effect: ViewChanged, *, now: float) -> Effects:
@@ -122,6 +139,7 @@
         return (
             *(each for group in effects for each in group),
             *self._policy.observe_instances(effect.routable, now=now),
+            *self._sheets.observe_instances(effect.routable, now=now),
             RoutableChanged(effect.routable, lost),
         )
 
--- a/src/cuminstack/node/_routing.py
+++ b/src/cuminstack/node/_routing.py
@@ -50,8 +50,12 @@
         self._message_handlers: dict[type[Any], Callable[..., Effects]] = {}
         self._effect_handlers: dict[type[Any], Callable[..., Effects]] = {}
 
-    def add(self, desk: object) -> None:
-        """Take the marked methods of a desk."""
+    def add_all(self, *desks: object) -> None:
+        """Take the marked methods of desks."""
+        for desk in desks:
+            self._add(desk)
+
+    def _add(self, desk: object) -> None:
         methods = inspect.getmembers(type(desk), inspect.isfunction)
         for name, function in methods:
             for marked in getattr(function, _MESSAGE_MARK, ()):
--- a/src/cuminstack/register/_register.py
+++ b/src/cuminstack/register/_register.py
@@ -103,6 +103,16 @@
         effects = self._proposer.submit(sheet, ticket=ticket, now=now)
         return self._deliver(effects, now)
 
+    def read(self, *, now: float) -> Effects:
+        """Find out what is in force; `Learned` tells, version 0 if nothing.
+
+        Nothing is asked while a submission or a check is under way.
+        """
+        if self._proposer.is_busy:
+            return ()
+        effects = self._proposer.submit(None, ticket=0, now=now)
+        return self._deliver(effects, now)
+
     def observe_in_force(self, sheet: Sheet) -> None:
         """Take a sheet in force that was learned by another way."""
         self._known.observe_in_force(sheet)
