Draft the lease policy, the fair queue and the bench loop

Change: slot leases that stay where they were last used, asked for by hints, renewed by claims at one owner in each zone; members and jobs in one fair queue; a seeded event loop over the policies.

--- /dev/null
+++ b/bench/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies measured on a seeded event loop, without sockets."""
--- /dev/null
+++ b/bench/policies/_cluster.py
@@ -0,0 +1,251 @@
+"""Policies, endpoints and hops on one event loop."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any, Final
+
+from bench.policies._load import Arrival
+from cuminstack import wire
+from cuminstack.core import (
+    EndpointId,
+    EndpointRecord,
+    Instance,
+    InstanceId,
+    JobId,
+    JobKey,
+    MemberName,
+    Send,
+    ServiceName,
+    ServiceRef,
+    StartTask,
+    TaskId,
+    ZoneName,
+)
+from cuminstack.slots import (
+    Ask,
+    Effects,
+    Grant,
+    LeasePolicy,
+    MemberTerms,
+    Policy,
+    QueuedTask,
+    make_policy,
+)
+
+ZONES: Final = ('telavi', 'gurjaani', 'sighnaghi')
+INSTANCES: Final = 9
+ENDPOINTS: Final = 24
+SLOTS: Final = 8
+HOP_SECONDS: Final = 0.0005
+_TICK_SECONDS: Final = 0.05
+_HEARTBEAT_SECONDS: Final = 0.5
+_SERVICE: Final = ServiceName('order-desk')
+_ANY: Final = ServiceRef(MemberName('*'), ServiceName('*'))
+
+
+@dataclass(slots=True)
+class JobRun:
+    """A job on its way: open tasks, and when the last was answered."""
+
+    arrival: Arrival
+    open: int
+    started: Counter[int] = field(default_factory=Counter)
+    done_at: float | None = None
+
+
+def zone_of(number: int) -> ZoneName:
+    """Deal instances and endpoints out over the zones."""
+    return ZoneName(ZONES[number % len(ZONES)])
+
+
+def instances() -> tuple[Instance, ...]:
+    """Make the instances."""
+    return tuple(
+        Instance(InstanceId(f'i{number}'), zone_of(number), 1, '', '')
+        for number in range(INSTANCES)
+    )
+
+
+def endpoints() -> tuple[EndpointRecord, ...]:
+    """Make the endpoints."""
+    return tuple(
+        EndpointRecord(
+            EndpointId(f'e{number:02}'),
+            1,
+            zone_of(number),
+            '',
+            (_ANY,),
+            slots=SLOTS,
+            connections=SLOTS * 8,
+        )
+        for number in range(ENDPOINTS)
+    )
+
+
+class Cluster:
+    """One run of a policy over a sequence of jobs.
+
+    Args:
+        policy: Its registered name.
+        seed: For the policies' own choices.
+        terms: Of all members.
+        hints: Whether heartbeats carry free slots; they aren't counted.
+    """
+
+    def __init__(
+        self,
+        policy: str,
+        *,
+        seed: int,
+        terms: dict[str, MemberTerms],
+        hints: bool = True,
+    ) -> None:
+        self.now: float = 0
+        self.jobs: dict[JobId, JobRun] = {}
+        self.messages: Counter[str] = Counter()
+        self.waste: Counter[str] = Counter()
+        self.use: Counter[str] = Counter()
+        self._hints = hints
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = 0
+        self._running: Counter[EndpointId] = Counter()
+        self._peers = instances()
+        self._policies: dict[InstanceId, Policy] = {}
+        for number, own in enumerate(self._peers):
+            made = make_policy(policy, own, seed=seed * INSTANCES + number)
+            self._policies[own.instance] = made
+            self._boot(own.instance, made, terms)
+
+    def run(self, jobs: Sequence[Arrival], until: float) -> None:
+        """Let all jobs arrive, and go on until a time."""
+        for number, job in enumerate(jobs):
+            self._at(job.at, partial(self._arrive, number, job))
+        for own in self._policies:
+            self._at(_TICK_SECONDS, partial(self._tick, own))
+            if self._hints:
+                self._at(_HEARTBEAT_SECONDS, partial(self._beat, own))
+        while self._events and self._events[0][0] <= until:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+        for policy in self._policies.values():
+            if isinstance(policy, LeasePolicy):
+                self.waste['unused leases'] += policy.unused_leases
+
+    def _boot(
+        self,
+        own: InstanceId,
+        policy: Policy,
+        terms: dict[str, MemberTerms],
+    ) -> None:
+        self._perform(own, policy.observe_instances(self._peers, now=0))
+        self._perform(own, policy.apply_terms(terms, now=0))
+        for record in endpoints():
+            self._perform(own, policy.observe_endpoint(record, now=0))
+
+    def _at(self, at: float, event: Callable[[], None]) -> None:
+        self._serial += 1
+        heapq.heappush(self._events, (at, self._serial, event))
+
+    def _tick(self, own: InstanceId) -> None:
+        self._perform(own, self._policies[own].tick(now=self.now))
+        self._at(self.now + _TICK_SECONDS, partial(self._tick, own))
+
+    def _beat(self, own: InstanceId) -> None:
+        policy = self._policies[own]
+        self._at(self.now + _HEARTBEAT_SECONDS, partial(self._beat, own))
+        if not isinstance(policy, LeasePolicy):
+            return
+        for peer, other in self._policies.items():
+            if peer != own and isinstance(other, LeasePolicy):
+                other.observe_hint(own, policy.free_slots, now=self.now)
+
+    def _arrive(self, number: int, job: Arrival) -> None:
+        member = MemberName(job.member)
+        job_id = JobId(member, JobKey(f'j{number}'))
+        self.jobs[job_id] = JobRun(job, len(job.runs))
+        tasks = [
+            QueuedTask(TaskId(job_id, index, 1), ServiceRef(member, _SERVICE))
+            for index in range(len(job.runs))
+        ]
+        own = self._peers[job.instance].instance
+        self._perform(own, self._policies[own].submit(tasks, now=self.now))
+
+    def _perform(self, own: InstanceId, effects: Effects) -> None:
+        for effect in effects:
+            if isinstance(effect, StartTask):
+                self.messages['start'] += 1
+                begin = partial(self._begin, own, effect)
+                self._at(self.now + HOP_SECONDS, begin)
+            else:
+                self._send(own, effect)
+
+    def _send(self, own: InstanceId, effect: Send) -> None:
+        message = effect.message
+        self.messages[wire.kind_of(message)] += 1
+        if isinstance(message, Grant) and not message.slots:
+            self.waste['empty replies'] += 2
+        if isinstance(message, Ask) and not message.wanted:
+            self.waste['cancelled asks'] += 1
+        receive = partial(self._receive, effect.to, own, message)
+        self._at(self.now + HOP_SECONDS, receive)
+
+    def _receive(self, own: InstanceId, sender: InstanceId, body: Any) -> None:
+        policy = self._policies[own]
+        self._perform(own, policy.receive(sender, body, now=self.now))
+
+    def _begin(self, own: InstanceId, start: StartTask) -> None:
+        endpoint = start.endpoint
+        job = self.jobs[start.task.job]
+        if self._running[endpoint] >= SLOTS:
+            self.messages['refusal'] += 1
+            self.waste['refused starts'] += 2
+            refused = partial(self._refused, own, start)
+            self._at(self.now + HOP_SECONDS, refused)
+            return
+        self._running[endpoint] += 1
+        job.started[start.task.index] += 1
+        run = job.arrival.runs[start.task.index]
+        self._at(self.now + run, partial(self._end, own, start, run))
+
+    def _end(self, own: InstanceId, start: StartTask, run: float) -> None:
+        self._running[start.endpoint] -= 1
+        self.use[start.task.job.member] += 1
+        self.messages['answer'] += 1
+        answered = partial(self._answered, own, start)
+        self._at(self.now + HOP_SECONDS, answered)
+
+    def _answered(self, own: InstanceId, start: StartTask) -> None:
+        job = self.jobs[start.task.job]
+        job.open -= 1
+        if not job.open:
+            job.done_at = self.now
+        self._finish(own, start, started=True)
+
+    def _refused(self, own: InstanceId, start: StartTask) -> None:
+        self._finish(own, start, started=False)
+        task = start.task
+        again = TaskId(task.job, task.index, task.attempt + 1)
+        service = ServiceRef(task.job.member, _SERVICE)
+        effects = self._policies[own].submit(
+            [QueuedTask(again, service)],
+            now=self.now,
+        )
+        self._perform(own, effects)
+
+    def _finish(
+        self,
+        own: InstanceId,
+        start: StartTask,
+        *,
+        started: bool,
+    ) -> None:
+        effects = self._policies[own].finished(
+            start.task,
+            start.endpoint,
+            started=started,
+            now=self.now,
+        )
+        self._perform(own, effects)
--- a/src/cuminstack/slots/__init__.py
+++ b/src/cuminstack/slots/__init__.py
@@ -9,6 +9,17 @@
     RoundRobinPolicy,
     TwoChoicesPolicy,
 )
+from cuminstack.slots._leases import LeasePolicy
+from cuminstack.slots._messages import (
+    Ask,
+    Claim,
+    Claimed,
+    EndpointSlots,
+    Grant,
+    Hint,
+    Use,
+    Wanted,
+)
 from cuminstack.slots._policy import (
     Effect,
     Effects,
@@ -22,10 +33,17 @@
 )
 
 __all__ = (
+    'Ask',
     'BasePolicy',
+    'Claim',
+    'Claimed',
     'Effect',
     'Effects',
     'EndpointLoad',
+    'EndpointSlots',
+    'Grant',
+    'Hint',
+    'LeasePolicy',
     'LoadReport',
     'LocalPolicy',
     'MemberTerms',
@@ -35,6 +53,8 @@
     'RandomPolicy',
     'RoundRobinPolicy',
     'TwoChoicesPolicy',
+    'Use',
+    'Wanted',
     'make_policy',
     'policy',
     'policy_names',
--- a/src/cuminstack/slots/_base.py
+++ b/src/cuminstack/slots/_base.py
@@ -13,7 +13,7 @@
 )
 from cuminstack.slots._chance import Chance
 from cuminstack.slots._policy import Effects, MemberTerms, QueuedTask
-from cuminstack.slots._queue import TaskClass, TaskQueue
+from cuminstack.slots._queue import TaskClass, TaskQueue, class_of
 
 #: How long an endpoint that refused a start is passed over, in seconds.
 _COOLING_SECONDS: Final = 0.02
@@ -32,7 +32,7 @@
         self._alive: dict[InstanceId, Instance] = {own.instance: own}
         self._records: dict[EndpointId, EndpointRecord] = {}
         self._terms: dict[str, MemberTerms] = {}
-        self._queue = TaskQueue()
+        self._queue = TaskQueue(class_of)
         self._running: dict[EndpointId, set[TaskId]] = {}
         self._held: dict[str, int] = {}
         self._cooling: dict[EndpointId, float] = {}
@@ -144,7 +144,7 @@
 
     def _dispatch(self, now: float) -> Effects:
         effects: list[StartTask] = []
-        ready = list(self._queue.classes)
+        ready = list(self._queue.groups)
         while ready:
             ready = [key for key in ready if self._start(key, effects, now)]
         return tuple(effects)
@@ -163,7 +163,7 @@
         self._running.setdefault(chosen.endpoint, set()).add(task)
         self._held[task.job.member] = self._held_by(task.job.member) + 1
         effects.append(StartTask(task, chosen.endpoint))
-        return key in self._queue.classes
+        return key in self._queue.groups
 
     def _find(self, key: TaskClass, now: float) -> EndpointRecord | None:
         member = key.service.member
--- /dev/null
+++ b/src/cuminstack/slots/_demand.py
@@ -0,0 +1,214 @@
+"""Tasks that wait here, and what other instances want of this one."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.core import InstanceId, JobId, MemberName, TaskId
+from cuminstack.fairness import Demand, FairQueue, Share, Turn
+from cuminstack.slots._messages import Ask, Use, Wanted
+from cuminstack.slots._policy import MemberTerms, QueuedTask
+from cuminstack.slots._queue import TaskClass, TaskQueue, class_of
+
+#: How long a want of another instance stands, in seconds.
+WANT_SECONDS: Final = 0.25
+#: Jobs of one member in one message.
+_MAX_WANTED: Final = 16
+#: Head start of own tasks over those elsewhere, in seconds: what a message
+#: must gain.
+_OWN_HEAD_START: Final = 0.02
+#: Head start of a task whose first attempt was refused, in seconds.
+_RETRY_HEAD_START: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingJob:
+    """Like tasks of one job that wait at one instance."""
+
+    instance: InstanceId
+    job: JobId
+    lane: TaskClass
+
+
+_Turn = Turn[WaitingJob]
+
+
+class DemandBook:
+    """Own tasks and others' wants in one fair queue.
+
+    Args:
+        own: The instance.
+    """
+
+    def __init__(self, own: InstanceId) -> None:
+        self._own = own
+        self._fair: FairQueue[WaitingJob] = FairQueue()
+        self._tasks = TaskQueue(self._job_of)
+        self._lanes: Counter[TaskClass] = Counter()
+        self._wants: dict[InstanceId, tuple[WaitingJob, ...]] = {}
+        self._wants_end: dict[InstanceId, float] = {}
+        self._turns: dict[TaskId, tuple[_Turn, float]] = {}
+        self._used: Counter[MemberName] = Counter()
+        self._told: dict[tuple[InstanceId, MemberName], float] = {}
+
+    @property
+    def lanes(self) -> tuple[tuple[TaskClass, int], ...]:
+        """Own tasks that wait, by class."""
+        return tuple(self._lanes.items())
+
+    @property
+    def empty(self) -> bool:
+        """Whether nobody waits."""
+        return not len(self._fair)
+
+    def apply_terms(self, terms: dict[str, MemberTerms]) -> None:
+        """Take the shares of all members."""
+        self._fair.apply_shares(
+            {
+                member: Share(granted.share, granted.max_slots)
+                for member, granted in terms.items()
+            },
+        )
+
+    def submit(self, tasks: Sequence[QueuedTask], *, now: float) -> None:
+        """Queue own tasks."""
+        retried = any(task.task.attempt > 1 for task in tasks)
+        since = now - _RETRY_HEAD_START if retried else now
+        for job in self._tasks.push(tasks):
+            self._refile(job, since)
+
+    def withdraw(self, tasks: Sequence[TaskId]) -> None:
+        """Take own tasks back."""
+        for job, count in Counter(self._tasks.withdraw(tasks)).items():
+            self._fair.drop(job, count)
+            self._count(job.lane, -count)
+
+    def want(self, sender: InstanceId, ask: Ask, *, now: float) -> None:
+        """Put the wants of an instance in place of its last ones."""
+        self.forget(sender)
+        for use in ask.uses:
+            self._charge(sender, use)
+        jobs = [self._file_want(sender, want, now) for want in ask.wanted]
+        self._wants[sender] = tuple(jobs)
+        self._wants_end[sender] = now + WANT_SECONDS
+
+    def forget(self, sender: InstanceId) -> None:
+        """Drop the wants of an instance."""
+        self._wants_end.pop(sender, None)
+        for job in self._wants.pop(sender, ()):
+            self._fair.drop(job)
+
+    def expire(self, alive: Iterable[InstanceId], *, now: float) -> None:
+        """Drop old wants, and those of instances that have gone."""
+        living = set(alive)
+        for sender, end in tuple(self._wants_end.items()):
+            if end <= now or sender not in living:
+                self.forget(sender)
+
+    def take(self, fits: Callable[[TaskClass], bool]) -> _Turn | None:
+        """Give a free slot to whoever is next."""
+        return self._fair.take(fits=fits)
+
+    def begin(self, turn: _Turn, *, now: float) -> TaskId:
+        """Start an own task in a turn."""
+        task = self._tasks.pop(turn.key).task
+        self._count(turn.key.lane, -1)
+        self._turns[task] = (turn, now)
+        self._used[task.job.member] += turn.charge
+        return task
+
+    def lend(self, turn: _Turn) -> None:
+        """Let another instance have a turn; it will tell the true use."""
+        self._fair.release(turn, turn.charge)
+        place = (turn.key.instance, turn.key.job.member)
+        self._told[place] = self._told.get(place, 0) + turn.charge
+
+    def end(self, task: TaskId, *, started: bool, now: float) -> None:
+        """End the turn of an own task."""
+        turn, since = self._turns.pop(task)
+        seconds = now - since if started else 0
+        if started:
+            self._fair.settle(turn, seconds)
+        else:
+            self._fair.release(turn)
+        self._used[task.job.member] += seconds - turn.charge
+
+    def ask(self, *, now: float) -> Ask:
+        """Tell what the own tasks want, and what members have used."""
+        leaders = self._fair.leaders(_MAX_WANTED, only=self._is_own)
+        wanted = tuple(_wanted(demand, now) for demand in leaders)
+        members = {want.job.member for want in wanted}
+        members.update(turn.member for turn, _ in self._turns.values())
+        return Ask(wanted, self._uses(members))
+
+    def _uses(self, members: Iterable[str]) -> tuple[Use, ...]:
+        return tuple(
+            Use(MemberName(member), self._used[MemberName(member)])
+            for member in sorted(members)
+        )
+
+    def _is_own(self, job: WaitingJob) -> bool:
+        return job.instance == self._own
+
+    def _job_of(self, task: QueuedTask) -> WaitingJob:
+        return WaitingJob(self._own, task.task.job, class_of(task))
+
+    def _refile(self, job: WaitingJob, since: float) -> None:
+        known = self._fair.demand(job)
+        waiting = self._tasks.count(job)
+        self._count(job.lane, waiting - (known.waiting if known else 0))
+        self._fair.put(
+            Demand(
+                job,
+                job.job.member,
+                job.lane,
+                waiting,
+                min(since, known.since) if known else since,
+                known.attained if known else 0,
+            ),
+        )
+
+    def _count(self, lane: TaskClass, change: int) -> None:
+        self._lanes[lane] += change
+        if not self._lanes[lane]:
+            self._lanes.pop(lane)
+
+    def _charge(self, sender: InstanceId, use: Use) -> None:
+        place = (sender, use.member)
+        told = self._told.get(place)
+        self._told[place] = use.seconds
+        if told is not None:
+            self._fair.charge(use.member, use.seconds - told)
+
+    def _file_want(
+        self,
+        sender: InstanceId,
+        want: Wanted,
+        now: float,
+    ) -> WaitingJob:
+        job = WaitingJob(sender, want.job, TaskClass(want.service, want.needs))
+        since = now - want.age + _OWN_HEAD_START
+        self._fair.put(
+            Demand(
+                job,
+                want.job.member,
+                job.lane,
+                want.count,
+                since,
+                want.attained,
+            ),
+        )
+        return job
+
+
+def _wanted(demand: Demand[WaitingJob], now: float) -> Wanted:
+    lane = demand.key.lane
+    return Wanted(
+        demand.key.job,
+        lane.service,
+        lane.needs,
+        demand.waiting,
+        now - demand.since,
+        demand.attained,
+    )
--- /dev/null
+++ b/src/cuminstack/slots/_messages.py
@@ -0,0 +1,106 @@
+"""What the lease policies of a deployment tell each other."""
+
+from dataclasses import dataclass
+
+from cuminstack import wire
+from cuminstack.core import EndpointId, InstanceId, JobId, MemberName
+from cuminstack.core import Needs, ServiceRef
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSlots:
+    """Slots of one endpoint, each with the stamp of its lease.
+
+    A stamp grows each time the lease changes hands.
+    """
+
+    endpoint: EndpointId
+    slots: tuple[int, ...]
+    stamps: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Tasks of a job that wait at the sender.
+
+    Args:
+        job: The job.
+        service: What its tasks are tasks of.
+        needs: Resources of one endpoint that each must fit in.
+        count: Slots wanted.
+        age: Since the job arrived, in seconds.
+        attained: Slot-seconds that the job has had.
+    """
+
+    job: JobId
+    service: ServiceRef
+    needs: Needs
+    count: int
+    age: float
+    attained: float
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Slot-seconds that a member has had through the sender, in all."""
+
+    member: MemberName
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """Free slots that an instance was last known to hold.
+
+    Args:
+        instance: The instance.
+        free: Its free slots.
+        age: Since that was known, in seconds.
+    """
+
+    instance: InstanceId
+    free: int
+    age: float
+
+
+@wire.message('slots.ask')
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """All that the sender still wants; takes the place of its last one."""
+
+    wanted: tuple[Wanted, ...]
+    uses: tuple[Use, ...] = ()
+
+
+@wire.message('slots.grant')
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Leases that now are the receiver's.
+
+    Args:
+        slots: The slots; may be none.
+        hints: Where free slots may be found.
+        reply: Whether this answers an `Ask`.
+    """
+
+    slots: tuple[EndpointSlots, ...]
+    hints: tuple[Hint, ...] = ()
+    reply: bool = False
+
+
+@wire.message('slots.claim')
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """All the leases that the sender holds of the receiver's endpoints."""
+
+    serial: int
+    slots: tuple[EndpointSlots, ...]
+
+
+@wire.message('slots.claimed')
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """Renews the leases of a claim, but for those to drop."""
+
+    serial: int
+    dropped: tuple[EndpointSlots, ...] = ()
--- a/src/cuminstack/slots/_queue.py
+++ b/src/cuminstack/slots/_queue.py
@@ -1,8 +1,9 @@
-"""Queued tasks, first in first out within a class of like tasks."""
+"""Queued tasks, first in first out within a group."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Hashable, Sequence
 from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from cuminstack.core import (
     EndpointRecord,
@@ -13,6 +14,8 @@
 )
 from cuminstack.slots._policy import QueuedTask
 
+Group = TypeVar('Group', bound=Hashable)
+
 
 @dataclass(frozen=True, slots=True)
 class TaskClass:
@@ -35,46 +38,69 @@
     return TaskClass(task.service, task.needs)
 
 
-class TaskQueue:
-    """Tasks that wait, by class."""
+class TaskQueue(Generic[Group]):
+    """Tasks that wait, first in first out within a group.
+
+    Args:
+        group_of: Gives the group of a task.
+    """
 
-    def __init__(self) -> None:
-        self._tasks: dict[TaskClass, OrderedDict[TaskId, QueuedTask]] = {}
-        self._class_of: dict[TaskId, TaskClass] = {}
+    def __init__(self, group_of: Callable[[QueuedTask], Group]) -> None:
+        self._choose_group = group_of
+        self._tasks: dict[Group, OrderedDict[TaskId, QueuedTask]] = {}
+        self._group_of: dict[TaskId, Group] = {}
 
     @property
-    def classes(self) -> tuple[TaskClass, ...]:
-        """Classes with a task that waits."""
+    def groups(self) -> tuple[Group, ...]:
+        """Groups with a task that waits."""
         return tuple(self._tasks)
 
     def __len__(self) -> int:
-        return len(self._class_of)
+        return len(self._group_of)
+
+    def count(self, group: Group) -> int:
+        """Tell how many tasks of a group wait."""
+        return len(self._tasks.get(group, ()))
 
-    def push(self, tasks: Sequence[QueuedTask]) -> None:
-        """Add tasks at the end of their classes; a known one stays put."""
+    def push(self, tasks: Sequence[QueuedTask]) -> tuple[Group, ...]:
+        """Add tasks at the end of their groups; a known one stays put.
+
+        Returns:
+            The groups that have grown.
+        """
+        grown: dict[Group, None] = {}
         for task in tasks:
-            key = class_of(task)
-            if task.task not in self._class_of:
-                self._class_of[task.task] = key
-                self._tasks.setdefault(key, OrderedDict())[task.task] = task
-
-    def pop(self, task_class: TaskClass) -> QueuedTask:
-        """Take the first task of a class."""
-        waiting = self._tasks[task_class]
+            group = self._choose_group(task)
+            if task.task not in self._group_of:
+                self._group_of[task.task] = group
+                self._tasks.setdefault(group, OrderedDict())[task.task] = task
+                grown[group] = None
+        return tuple(grown)
+
+    def pop(self, group: Group) -> QueuedTask:
+        """Take the first task of a group."""
+        waiting = self._tasks[group]
         task_id, task = waiting.popitem(last=False)
-        self._class_of.pop(task_id)
+        self._group_of.pop(task_id)
         if not waiting:
-            self._tasks.pop(task_class)
+            self._tasks.pop(group)
         return task
 
-    def withdraw(self, tasks: Sequence[TaskId]) -> None:
-        """Drop tasks; unknown ones are ignored."""
+    def withdraw(self, tasks: Sequence[TaskId]) -> tuple[Group, ...]:
+        """Drop tasks; unknown ones are ignored.
+
+        Returns:
+            The group of each task that was dropped.
+        """
+        dropped: list[Group] = []
         for task_id in tasks:
-            key = self._class_of.pop(task_id, None)
-            if key is not None:
-                self._drop(key, task_id)
+            group = self._group_of.pop(task_id, None)
+            if group is not None:
+                self._drop(group, task_id)
+                dropped.append(group)
+        return tuple(dropped)
 
-    def _drop(self, key: TaskClass, task_id: TaskId) -> None:
+    def _drop(self, key: Group, task_id: TaskId) -> None:
         waiting = self._tasks[key]
         waiting.pop(task_id)
         if not waiting:
