Give out slots by leases that move on demand

Change: slots that are received serve own tasks first; asks name a count and either get what is free now or stand for an even part; a short reply rests its sender for 50 ms; a lease made anew runs its full time; a lost instance makes all claim at once, so that its slots come back after 1 s.

--- a/bench/policies/_bound.py
+++ b/bench/policies/_bound.py
@@ -13,7 +13,7 @@
     hop: float,
 ) -> tuple[float, ...]:
     """Give each job's response time over its ideal."""
-    free_at = [float(0)] * slots
+    free_at = [float(0) for _ in range(slots)]
     ratios = []
     for job in jobs:
         last = job.at
--- a/bench/policies/_cluster.py
+++ b/bench/policies/_cluster.py
@@ -25,7 +25,6 @@
     ZoneName,
 )
 from cuminstack.slots import (
-    Ask,
     Effects,
     Grant,
     LeasePolicy,
@@ -56,6 +55,13 @@
     done_at: float | None = None
 
 
+@dataclass(order=True, slots=True)
+class _Event:
+    at: float
+    serial: int
+    act: Callable[[], None] = field(compare=False)
+
+
 def zone_of(number: int) -> ZoneName:
     """Deal instances and endpoints out over the zones."""
     return ZoneName(ZONES[number % len(ZONES)])
@@ -73,7 +79,7 @@
     """Make the endpoints."""
     return tuple(
         EndpointRecord(
-            EndpointId(f'e{number:02}'),
+            EndpointId(f'e{number}'),
             1,
             zone_of(number),
             '',
@@ -109,7 +115,7 @@
         self.waste: Counter[str] = Counter()
         self.use: Counter[str] = Counter()
         self._hints = hints
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._events: list[_Event] = []
         self._serial = 0
         self._running: Counter[EndpointId] = Counter()
         self._peers = instances()
@@ -127,9 +133,10 @@
             self._at(_TICK_SECONDS, partial(self._tick, own))
             if self._hints:
                 self._at(_HEARTBEAT_SECONDS, partial(self._beat, own))
-        while self._events and self._events[0][0] <= until:
-            self.now, _, event = heapq.heappop(self._events)
-            event()
+        while self._events and self._events[0].at <= until:
+            event = heapq.heappop(self._events)
+            self.now = event.at
+            event.act()
         for policy in self._policies.values():
             if isinstance(policy, LeasePolicy):
                 self.waste['unused leases'] += policy.unused_leases
@@ -147,7 +154,7 @@
 
     def _at(self, at: float, event: Callable[[], None]) -> None:
         self._serial += 1
-        heapq.heappush(self._events, (at, self._serial, event))
+        heapq.heappush(self._events, _Event(at, self._serial, event))
 
     def _tick(self, own: InstanceId) -> None:
         self._perform(own, self._policies[own].tick(now=self.now))
@@ -187,8 +194,6 @@
         self.messages[wire.kind_of(message)] += 1
         if isinstance(message, Grant) and not message.slots:
             self.waste['empty replies'] += 2
-        if isinstance(message, Ask) and not message.wanted:
-            self.waste['cancelled asks'] += 1
         receive = partial(self._receive, effect.to, own, message)
         self._at(self.now + HOP_SECONDS, receive)
 
--- a/src/cuminstack/fairness/_member.py
+++ b/src/cuminstack/fairness/_member.py
@@ -36,9 +36,7 @@
     @property
     def stale(self) -> bool:
         """Whether the entry has moved, or no task of it waits."""
-        return (
-            self.entry.score != self.score or self.entry.demand.waiting == 0
-        )
+        return self.entry.score != self.score or self.entry.demand.waiting == 0
 
 
 @dataclass(slots=True)
--- a/src/cuminstack/fairness/_queue.py
+++ b/src/cuminstack/fairness/_queue.py
@@ -43,7 +43,8 @@
 
     def apply_shares(self, shares: Mapping[str, Share]) -> None:
         """Take the shares of all members; the others go by the default."""
-        for member in {*self._accounts, *shares}:
+        members = set(self._accounts).union(shares)
+        for member in members:
             self._account(member).share = shares.get(member, Share())
 
     def put(self, demand: Demand[Key]) -> None:
--- a/src/cuminstack/slots/_borrowing.py
+++ b/src/cuminstack/slots/_borrowing.py
@@ -1,49 +1,68 @@
 """Whom this instance has asked for slots, and whom to ask next."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from math import ceil
 from typing import Final
 
 from cuminstack.core import InstanceId
 from cuminstack.slots._demand import WANT_SECONDS
 from cuminstack.slots._hints import Hints
-from cuminstack.slots._messages import Grant
 
 #: Until an ask without a reply is thought lost, in seconds.
 _REPLY_SECONDS: Final = 0.1
+#: Until an ask that stands is thought forgotten, in seconds.
+_STAND_SECONDS: Final = WANT_SECONDS
 #: Until an instance that had too little is asked anew, in seconds.
-_REFRESH_SECONDS: Final = 0.1
+_DRY_SECONDS: Final = 0.05
+#: Slots asked for by asks that stand, for each one that is missing.
+_SPREAD: Final = 2
+#: Free slots that an instance must be thought to hold to be asked.
+_WORTH_ASKING: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """An ask to be sent."""
+
+    peer: InstanceId
+    count: int
+    stands: bool
 
 
 @dataclass(slots=True)
 class _Asked:
-    """The last ask to an instance."""
+    """An ask that was sent, and the slots that may still come for it."""
 
     at: float
     count: int
-    replied: bool = False
-
-    def rests(self, now: float) -> bool:
-        """Whether it is too early to ask anew."""
-        limit = _REFRESH_SECONDS if self.replied else _REPLY_SECONDS
-        return now - self.at < limit
+    stands: bool
 
-    def stands(self, now: float) -> bool:
-        """Whether the instance may yet send slots for it."""
-        return self.count > 0 and now - self.at < WANT_SECONDS
+    def open(self, now: float) -> bool:
+        """Whether slots may still come."""
+        limit = _STAND_SECONDS if self.stands else _REPLY_SECONDS
+        return self.count > 0 and now - self.at < limit
 
 
 class Borrowing:
-    """Asks one instance after another, the richest in free slots first."""
+    """Asks one instance after another, the richest in free slots first.
+
+    Where none is left that may have any, asks stand at several instances, to
+    be met as slots are freed.
+    """
 
     def __init__(self) -> None:
         self.hints = Hints()
         self._asked: dict[InstanceId, _Asked] = {}
+        self._dry: dict[InstanceId, float] = {}
 
     def keep(self, alive: Iterable[InstanceId]) -> None:
         """Forget the instances that have left the view."""
         living = tuple(alive)
         self.hints.keep(living)
+        self._dry = {
+            peer: at for peer, at in self._dry.items() if peer in living
+        }
         self._asked = {
             peer: asked for peer, asked in self._asked.items() if peer in living
         }
@@ -54,50 +73,84 @@
         count: int,
         *,
         now: float,
-    ) -> tuple[InstanceId, ...]:
+    ) -> tuple[Request, ...]:
         """Choose whom to ask now for so many slots."""
-        awaited = sum(
-            self.hints.estimate(peer, now=now)
+        self._asked = {
+            peer: asked
             for peer, asked in self._asked.items()
-            if not asked.replied and asked.rests(now)
-        )
-        missing = count - awaited
-        if missing <= 0:
-            return ()
-        ready = [peer for peer in peers if not self._rests(peer, now)]
-        chosen = self.hints.choose(ready, int(missing) or 1, now=now)
-        for peer in chosen:
-            self._asked[peer] = _Asked(now, count)
-        return chosen
-
-    def replied(
+            if asked.open(now)
+        }
+        ready = [peer for peer in peers if peer not in self._asked]
+        awaited = self._awaited(stands=False)
+        requests = self._probe(ready, count - awaited, now)
+        if not requests and not awaited:
+            standing = self._awaited(stands=True)
+            requests = self._stand(ready, _SPREAD * count - standing)
+        for request in requests:
+            asked = _Asked(now, request.count, request.stands)
+            self._asked[request.peer] = asked
+        return requests
+
+    def granted(
         self,
         peer: InstanceId,
-        grant: Grant,
+        count: int,
         *,
+        reply: bool,
         now: float,
     ) -> None:
-        """Take what an instance has sent."""
+        """Take what an instance has sent.
+
+        One that sent less than it was asked for has nothing more that fits,
+        whatever it says of its free slots.
+        """
         asked = self._asked.get(peer)
         if asked is None:
             return
-        got = sum(len(group.slots) for group in grant.slots)
-        asked.count = max(0, asked.count - got)
-        asked.replied = asked.replied or grant.reply
-        if asked.replied and not asked.count:
+        asked.count -= count
+        probed = reply and not asked.stands
+        if probed and asked.count > 0:
+            self._dry[peer] = now + _DRY_SECONDS
+        if asked.count <= 0 or probed:
             self._asked.pop(peer)
 
-    def cancel(self, *, now: float) -> tuple[InstanceId, ...]:
-        """Give the instances whose wants must be taken back."""
-        standing = tuple(
-            peer
-            for peer, asked in self._asked.items()
-            if asked.replied and asked.stands(now)
+    def _awaited(self, *, stands: bool) -> int:
+        return sum(
+            asked.count
+            for asked in self._asked.values()
+            if asked.stands is stands
         )
-        for peer in standing:
-            self._asked.pop(peer)
-        return standing
 
-    def _rests(self, peer: InstanceId, now: float) -> bool:
-        asked = self._asked.get(peer)
-        return asked is not None and asked.rests(now)
+    def _probe(
+        self,
+        ready: Iterable[InstanceId],
+        count: int,
+        now: float,
+    ) -> tuple[Request, ...]:
+        """Ask the fewest that may have so many free slots."""
+        guesses = {
+            peer: self.hints.estimate(peer, now=now)
+            for peer in ready
+            if self._dry.get(peer, now) <= now
+        }
+        requests: list[Request] = []
+        richest = sorted(guesses, key=lambda each: (-guesses[each], each))
+        for peer in richest:
+            if count <= 0 or guesses[peer] < _WORTH_ASKING:
+                break
+            part = min(count, ceil(guesses[peer]))
+            requests.append(Request(peer, part, stands=False))
+            count -= part
+        return tuple(requests)
+
+    def _stand(
+        self,
+        ready: Sequence[InstanceId],
+        count: int,
+    ) -> tuple[Request, ...]:
+        """Let even parts of so many slots stand."""
+        if not ready or count <= 0:
+            return ()
+        every = ceil(count / len(ready))
+        chosen = ready[: ceil(count / every)]
+        return tuple(Request(peer, every, stands=True) for peer in chosen)
--- a/src/cuminstack/slots/_demand.py
+++ b/src/cuminstack/slots/_demand.py
@@ -2,14 +2,15 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
-from cuminstack.core import InstanceId, JobId, MemberName, TaskId
+from cuminstack.core import InstanceId, JobId, TaskId
 from cuminstack.fairness import Demand, FairQueue, Share, Turn
-from cuminstack.slots._messages import Ask, Use, Wanted
+from cuminstack.slots._messages import Ask, Wanted
 from cuminstack.slots._policy import MemberTerms, QueuedTask
 from cuminstack.slots._queue import TaskClass, TaskQueue, class_of
+from cuminstack.slots._usage import Usage
 
 #: How long a want of another instance stands, in seconds.
 WANT_SECONDS: Final = 0.25
@@ -17,11 +18,19 @@
 _MAX_WANTED: Final = 16
 #: Head start of own tasks over those elsewhere, in seconds: what a message
 #: must gain.
-_OWN_HEAD_START: Final = 0.02
+_OWN_HEAD_START: Final = 0.1
 #: Head start of a task whose first attempt was refused, in seconds.
 _RETRY_HEAD_START: Final = 1
 
 
+@dataclass(frozen=True, slots=True)
+class _Lane:
+    """A class of tasks, here or elsewhere."""
+
+    tasks: TaskClass
+    own: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingJob:
     """Like tasks of one job that wait at one instance."""
@@ -49,8 +58,7 @@
         self._wants: dict[InstanceId, tuple[WaitingJob, ...]] = {}
         self._wants_end: dict[InstanceId, float] = {}
         self._turns: dict[TaskId, tuple[_Turn, float]] = {}
-        self._used: Counter[MemberName] = Counter()
-        self._told: dict[tuple[InstanceId, MemberName], float] = {}
+        self._usage = Usage()
 
     @property
     def lanes(self) -> tuple[tuple[TaskClass, int], ...]:
@@ -88,7 +96,7 @@
         """Put the wants of an instance in place of its last ones."""
         self.forget(sender)
         for use in ask.uses:
-            self._charge(sender, use)
+            self._fair.charge(use.member, self._usage.learn(sender, use))
         jobs = [self._file_want(sender, want, now) for want in ask.wanted]
         self._wants[sender] = tuple(jobs)
         self._wants_end[sender] = now + WANT_SECONDS
@@ -106,23 +114,29 @@
             if end <= now or sender not in living:
                 self.forget(sender)
 
-    def take(self, fits: Callable[[TaskClass], bool]) -> _Turn | None:
+    def take(
+        self,
+        fits: Callable[[TaskClass], bool],
+        *,
+        only_own: bool = False,
+    ) -> _Turn | None:
         """Give a free slot to whoever is next."""
-        return self._fair.take(fits=fits)
+        return self._fair.take(
+            fits=lambda lane: lane.own >= only_own and fits(lane.tasks),
+        )
 
     def begin(self, turn: _Turn, *, now: float) -> TaskId:
         """Start an own task in a turn."""
         task = self._tasks.pop(turn.key).task
         self._count(turn.key.lane, -1)
         self._turns[task] = (turn, now)
-        self._used[task.job.member] += turn.charge
+        self._usage.add(turn.member, turn.charge)
         return task
 
     def lend(self, turn: _Turn) -> None:
         """Let another instance have a turn; it will tell the true use."""
         self._fair.release(turn, turn.charge)
-        place = (turn.key.instance, turn.key.job.member)
-        self._told[place] = self._told.get(place, 0) + turn.charge
+        self._usage.lend(turn.key.instance, turn.member, turn.charge)
 
     def end(self, task: TaskId, *, started: bool, now: float) -> None:
         """End the turn of an own task."""
@@ -132,21 +146,19 @@
             self._fair.settle(turn, seconds)
         else:
             self._fair.release(turn)
-        self._used[task.job.member] += seconds - turn.charge
+        self._usage.add(turn.member, seconds - turn.charge)
 
-    def ask(self, *, now: float) -> Ask:
-        """Tell what the own tasks want, and what members have used."""
+    def ask(self, count: int, *, stands: bool, now: float) -> Ask:
+        """Ask for so many slots, and tell what members have used."""
         leaders = self._fair.leaders(_MAX_WANTED, only=self._is_own)
-        wanted = tuple(_wanted(demand, now) for demand in leaders)
-        members = {want.job.member for want in wanted}
+        wanted: list[Wanted] = []
+        for demand in leaders:
+            if count > 0:
+                wanted.append(_wanted(demand, min(count, demand.waiting), now))
+            count -= demand.waiting
+        members: set[str] = {want.job.member for want in wanted}
         members.update(turn.member for turn, _ in self._turns.values())
-        return Ask(wanted, self._uses(members))
-
-    def _uses(self, members: Iterable[str]) -> tuple[Use, ...]:
-        return tuple(
-            Use(MemberName(member), self._used[MemberName(member)])
-            for member in sorted(members)
-        )
+        return Ask(tuple(wanted), self._usage.uses(members), stands)
 
     def _is_own(self, job: WaitingJob) -> bool:
         return job.instance == self._own
@@ -155,32 +167,20 @@
         return WaitingJob(self._own, task.task.job, class_of(task))
 
     def _refile(self, job: WaitingJob, since: float) -> None:
-        known = self._fair.demand(job)
+        lane = _Lane(job.lane, own=True)
         waiting = self._tasks.count(job)
-        self._count(job.lane, waiting - (known.waiting if known else 0))
-        self._fair.put(
-            Demand(
-                job,
-                job.job.member,
-                job.lane,
-                waiting,
-                min(since, known.since) if known else since,
-                known.attained if known else 0,
-            ),
-        )
+        known = self._fair.demand(job)
+        if known is None:
+            known = Demand(job, job.job.member, lane, 0, since)
+        self._count(job.lane, waiting - known.waiting)
+        since = min(since, known.since)
+        self._fair.put(replace(known, waiting=waiting, since=since))
 
     def _count(self, lane: TaskClass, change: int) -> None:
         self._lanes[lane] += change
         if not self._lanes[lane]:
             self._lanes.pop(lane)
 
-    def _charge(self, sender: InstanceId, use: Use) -> None:
-        place = (sender, use.member)
-        told = self._told.get(place)
-        self._told[place] = use.seconds
-        if told is not None:
-            self._fair.charge(use.member, use.seconds - told)
-
     def _file_want(
         self,
         sender: InstanceId,
@@ -193,7 +193,7 @@
             Demand(
                 job,
                 want.job.member,
-                job.lane,
+                _Lane(job.lane, own=False),
                 want.count,
                 since,
                 want.attained,
@@ -202,13 +202,17 @@
         return job
 
 
-def _wanted(demand: Demand[WaitingJob], now: float) -> Wanted:
+def _wanted(
+    demand: Demand[WaitingJob],
+    count: int,
+    now: float,
+) -> Wanted:
     lane = demand.key.lane
     return Wanted(
         demand.key.job,
         lane.service,
         lane.needs,
-        demand.waiting,
+        count,
         now - demand.since,
         demand.attained,
     )
--- /dev/null
+++ b/src/cuminstack/slots/_dispatcher.py
@@ -0,0 +1,152 @@
+"""Giving out free slots: to own tasks, to other instances, on request."""
+
+from cuminstack.core import (
+    EndpointId,
+    Instance,
+    InstanceId,
+    Send,
+    StartTask,
+    TaskId,
+)
+from cuminstack.slots._borrowing import Borrowing, Request
+from cuminstack.slots._demand import DemandBook
+from cuminstack.slots._holdings import Holdings
+from cuminstack.slots._leased import SlotLease, pack, unpack
+from cuminstack.slots._ledger import GRACE_SECONDS
+from cuminstack.slots._messages import Ask, Grant, Hint
+from cuminstack.slots._placement import Placement
+from cuminstack.slots._policy import Effects
+from cuminstack.slots._renewal import Renewal
+
+
+class Dispatcher:
+    """Brings free slots and waiting tasks together.
+
+    Args:
+        own: The instance.
+    """
+
+    def __init__(self, own: Instance) -> None:
+        self.holdings = Holdings()
+        self.demand = DemandBook(own.instance)
+        self.borrowing = Borrowing()
+        self.renewal = Renewal(own, self.holdings)
+        self.placement = Placement(self.holdings, self.renewal.records)
+        self._own = own.instance
+        self._granted: dict[InstanceId, list[SlotLease]] = {}
+        self._tasks: dict[TaskId, EndpointId] = {}
+        self._seen: float | None = None
+        self._used_at: float = 0
+
+    def idle_since(self, now: float) -> float:
+        """Give when a slot was last needed here, in seconds."""
+        return now if self._tasks or not self.demand.empty else self._used_at
+
+    def advance(self, now: float) -> Effects:
+        """Give out all free slots, and ask for those that are missing."""
+        starts = self._start(now)
+        return starts + self._flush(now) + self._ask(now)
+
+    def end(self, task: TaskId, *, started: bool, now: float) -> None:
+        """Free the slot of an attempt; a second time is ignored."""
+        endpoint = self._tasks.pop(task, None)
+        if endpoint is None:
+            return
+        self.placement.count(endpoint, -1)
+        self.demand.end(task, started=started, now=now)
+        if started:
+            self.holdings.end(task)
+        else:
+            self.holdings.refuse(task, now=now)
+
+    def answer(self, sender: InstanceId, ask: Ask, now: float) -> Effects:
+        """Give another instance what is free, or let its wants stand."""
+        self.borrowing.hints.observe(sender, 0, at=now)
+        self.demand.want(sender, ask, now=now)
+        starts = self._start(now)
+        reply: Effects = ()
+        if not ask.stands:
+            self.demand.forget(sender)
+            given = self._granted.pop(sender, [])
+            message = Grant(pack(given), self._hints(now), reply=True)
+            reply = (Send(sender, message),)
+        return starts + reply + self._flush(now) + self._ask(now)
+
+    def accept(self, sender: InstanceId, grant: Grant, now: float) -> Effects:
+        """Take leases from another instance."""
+        self.borrowing.hints.merge(grant.hints, self._own, now=now)
+        leases = unpack(grant.slots)
+        self.borrowing.granted(
+            sender,
+            len(leases),
+            reply=grant.reply,
+            now=now,
+        )
+        self.renewal.accept(leases, now=now)
+        # The sender chose this instance, so its own tasks come first; else
+        # a slot would be passed from hand to hand after the oldest job.
+        starts = self._start(now, only_own=True)
+        return starts + self.advance(now)
+
+    def _start(self, now: float, *, only_own: bool = False) -> Effects:
+        self._check_pause(now)
+        self.renewal.check(now=now)
+        starts: list[StartTask] = []
+        while self.holdings.free:
+            turn = self.demand.take(self.placement.has_open, only_own=only_own)
+            if turn is None:
+                break
+            endpoint = self.placement.pick(turn.key.lane)
+            self._used_at = now
+            if turn.key.instance == self._own:
+                task = self.demand.begin(turn, now=now)
+                starts.append(self._use(endpoint, task))
+            else:
+                self.demand.lend(turn)
+                lease = self.holdings.hand_on(endpoint)
+                self._granted.setdefault(turn.key.instance, []).append(lease)
+        return tuple(starts)
+
+    def _use(self, endpoint: EndpointId, task: TaskId) -> StartTask:
+        self.holdings.use(endpoint, task)
+        self.placement.count(endpoint, 1)
+        self._tasks[task] = endpoint
+        return StartTask(task, endpoint)
+
+    def _flush(self, now: float) -> Effects:
+        granted = self._granted
+        self._granted = {}
+        return tuple(
+            Send(peer, Grant(pack(leases), self._hints(now)))
+            for peer, leases in granted.items()
+        )
+
+    def _ask(self, now: float) -> Effects:
+        missing = sum(
+            count
+            for lane, count in self.demand.lanes
+            if self.placement.fitting(lane)
+        )
+        if not missing:
+            return ()
+        requests = self.borrowing.choose(
+            self.renewal.owners.peers,
+            missing,
+            now=now,
+        )
+        return tuple(self._request(request, now) for request in requests)
+
+    def _request(self, request: Request, now: float) -> Send:
+        ask = self.demand.ask(request.count, stands=request.stands, now=now)
+        return Send(request.peer, ask)
+
+    def _hints(self, now: float) -> tuple[Hint, ...]:
+        own = Hint(self._own, self.holdings.free, 0)
+        return (own, *self.borrowing.hints.give(now=now))
+
+    def _check_pause(self, now: float) -> None:
+        """Trust nothing that is held over a pause of the process."""
+        paused = self._seen is not None and now - self._seen > GRACE_SECONDS
+        self._seen = now
+        if paused:
+            self.renewal.restart(now=now)
--- a/src/cuminstack/slots/_hints.py
+++ b/src/cuminstack/slots/_hints.py
@@ -1,4 +1,4 @@
-"""Where free slots may be found, and whom to ask for them."""
+"""Where free slots may be found."""
 
 from collections.abc import Iterable
 from typing import Final
@@ -62,21 +62,3 @@
         at, free = self._known.get(peer, (now - _STALE_SECONDS, 0))
         trust = max(0, 1 - (now - at) / _STALE_SECONDS)
         return trust * free + (1 - trust) * _GUESS
-
-    def choose(
-        self,
-        peers: Iterable[InstanceId],
-        count: int,
-        *,
-        now: float,
-    ) -> tuple[InstanceId, ...]:
-        """Choose the fewest instances that may have so many free slots."""
-        guesses = {peer: self.estimate(peer, now=now) for peer in peers}
-        chosen: list[InstanceId] = []
-        found: float = 0
-        for peer in sorted(guesses, key=lambda each: (-guesses[each], each)):
-            if found >= count:
-                break
-            chosen.append(peer)
-            found += guesses[peer]
-        return tuple(chosen)
--- a/src/cuminstack/slots/_holdings.py
+++ b/src/cuminstack/slots/_holdings.py
@@ -14,12 +14,48 @@
 _Place = tuple[EndpointId, int]
 
 
+class _FreeSlots:
+    """Free leases by endpoint."""
+
+    def __init__(self) -> None:
+        self._leases: dict[EndpointId, dict[int, SlotLease]] = {}
+
+    @property
+    def endpoints(self) -> tuple[EndpointId, ...]:
+        """Endpoints with a free slot."""
+        return tuple(self._leases)
+
+    def __len__(self) -> int:
+        return sum(map(len, self._leases.values()))
+
+    def count(self, endpoint: EndpointId) -> int:
+        """Tell how many slots of an endpoint are free."""
+        return len(self._leases.get(endpoint, ()))
+
+    def add(self, lease: SlotLease) -> None:
+        """Add a lease."""
+        self._leases.setdefault(lease.endpoint, {})[lease.slot] = lease
+
+    def pop(self, endpoint: EndpointId) -> SlotLease:
+        """Take any free lease of an endpoint."""
+        lease = next(iter(self._leases[endpoint].values()))
+        self.remove(lease)
+        return lease
+
+    def remove(self, lease: SlotLease) -> None:
+        """Take one lease, if it is free."""
+        slots = self._leases.get(lease.endpoint, {})
+        slots.pop(lease.slot, None)
+        if not slots:
+            self._leases.pop(lease.endpoint, None)
+
+
 class Holdings:
     """Leases: free ones by endpoint, those in use, and those at rest."""
 
     def __init__(self) -> None:
         self._held: dict[_Place, SlotLease] = {}
-        self._free: dict[EndpointId, dict[int, SlotLease]] = {}
+        self._free = _FreeSlots()
         self._used: dict[TaskId, SlotLease] = {}
         self._rests: dict[EndpointId, float] = {}
         self._resting: list[tuple[float, SlotLease]] = []
@@ -29,7 +65,7 @@
     @property
     def free(self) -> int:
         """Free slots in all."""
-        return sum(map(len, self._free.values()))
+        return len(self._free)
 
     @property
     def unused(self) -> int:
@@ -39,7 +75,7 @@
     @property
     def open_endpoints(self) -> tuple[EndpointId, ...]:
         """Endpoints with a free slot."""
-        return tuple(self._free)
+        return self._free.endpoints
 
     @property
     def leases(self) -> tuple[SlotLease, ...]:
@@ -50,13 +86,9 @@
         """Tell how many slots of an endpoint are held."""
         return sum(place[0] == endpoint for place in self._held)
 
-    def has_free(self, endpoint: EndpointId) -> bool:
-        """Tell whether an endpoint has a free slot."""
-        return endpoint in self._free
-
     def free_at(self, endpoint: EndpointId) -> int:
         """Tell how many slots of an endpoint are free."""
-        return len(self._free.get(endpoint, ()))
+        return self._free.count(endpoint)
 
     def stamp_of(self, place: _Place) -> int | None:
         """Give the stamp of the lease held for a slot."""
@@ -70,7 +102,7 @@
             return
         self.drop(lease.place)
         self._held[lease.place] = lease
-        self._set_free(lease)
+        self._free.add(lease)
 
     def receive(self, lease: SlotLease) -> None:
         """Take a lease from another instance."""
@@ -82,18 +114,18 @@
         """Lose a lease; a task that runs in its slot goes on."""
         lease = self._held.pop(place, None)
         if lease is not None:
-            self._unset_free(lease)
+            self._free.remove(lease)
             self._count_unused(lease)
 
     def use(self, endpoint: EndpointId, task: TaskId) -> None:
         """Put a task into a free slot of an endpoint."""
-        lease = self._pop_free(endpoint)
+        lease = self._free.pop(endpoint)
         self._used[task] = lease
         self._untried.discard(lease)
 
     def hand_on(self, endpoint: EndpointId) -> SlotLease:
         """Give up a free slot of an endpoint; returns the next lease."""
-        lease = self._pop_free(endpoint)
+        lease = self._free.pop(endpoint)
         self._held.pop(lease.place)
         self._count_unused(lease)
         return lease.handed_on()
@@ -130,18 +162,4 @@
 
     def _restore(self, lease: SlotLease) -> None:
         if self._held.get(lease.place) == lease:
-            self._set_free(lease)
-
-    def _set_free(self, lease: SlotLease) -> None:
-        self._free.setdefault(lease.endpoint, {})[lease.slot] = lease
-
-    def _pop_free(self, endpoint: EndpointId) -> SlotLease:
-        lease = next(iter(self._free[endpoint].values()))
-        self._unset_free(lease)
-        return lease
-
-    def _unset_free(self, lease: SlotLease) -> None:
-        slots = self._free.get(lease.endpoint, {})
-        slots.pop(lease.slot, None)
-        if not slots:
-            self._free.pop(lease.endpoint, None)
+            self._free.add(lease)
--- a/src/cuminstack/slots/_leased.py
+++ b/src/cuminstack/slots/_leased.py
@@ -37,8 +37,8 @@
     return tuple(
         EndpointSlots(
             endpoint,
-            tuple(lease.slot for lease in group),
-            tuple(lease.stamp for lease in group),
+            tuple(each.slot for each in group),
+            tuple(each.stamp for each in group),
         )
         for endpoint, group in groups.items()
     )
--- a/src/cuminstack/slots/_ledger.py
+++ b/src/cuminstack/slots/_ledger.py
@@ -8,7 +8,7 @@
 from cuminstack.slots._leased import SlotLease
 
 #: Time from the last claim until a slot is offered anew, in seconds.
-LEASE_SECONDS: Final = 6
+LEASE_SECONDS: Final = 10
 #: The same, where the holder has left the view, or the owner is new.
 GRACE_SECONDS: Final = 1
 #: Stamps that a lease made anew skips, so that it outranks the lost one.
@@ -50,11 +50,12 @@
         A fresh endpoint has never been anyone's, so all its slots are free
         at once; for another the holders get time to make their claims.
         """
-        slots = self._slots.setdefault(record.endpoint, [])
-        expires = now if fresh or slots else now + GRACE_SECONDS
-        del slots[record.slots :]
-        while len(slots) < record.slots:
-            slots.append(_Entry(None, 0, expires))
+        known = self._slots.get(record.endpoint, [])
+        expires = now if fresh or known else now + GRACE_SECONDS
+        added = [
+            _Entry(None, 0, expires) for _ in range(record.slots - len(known))
+        ]
+        self._slots[record.endpoint] = known[: record.slots] + added
 
     def close(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone or another's now."""
@@ -67,10 +68,14 @@
             entry.expires = now + GRACE_SECONDS
 
     def lose(self, alive: Iterable[InstanceId], *, now: float) -> None:
-        """Shorten the leases of holders that have left the view."""
+        """Shorten the leases that a lost instance may have held.
+
+        Those are its own and the ones that nobody has claimed yet; whoever
+        has them of those alive claims them within the grace.
+        """
         living = {*alive, self._own}
         for entry in self._entries():
-            if entry.holder is not None and entry.holder not in living:
+            if entry.holder not in living:
                 entry.holder = None
                 entry.expires = min(entry.expires, now + GRACE_SECONDS)
 
@@ -102,6 +107,7 @@
                 if entry.expires <= now and entry.holder != self._own:
                     entry.holder = self._own
                     entry.stamp += _STAMP_LEAP
+                    entry.expires = now + LEASE_SECONDS
                     made.append(SlotLease(endpoint, number, entry.stamp))
         return tuple(made)
 
--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -3,8 +3,14 @@
 from dataclasses import dataclass
 
 from cuminstack import wire
-from cuminstack.core import EndpointId, InstanceId, JobId, MemberName
-from cuminstack.core import Needs, ServiceRef
+from cuminstack.core import (
+    EndpointId,
+    InstanceId,
+    JobId,
+    MemberName,
+    Needs,
+    ServiceRef,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +72,18 @@
 @wire.message('slots.ask')
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """All that the sender still wants; takes the place of its last one."""
+    """What the sender wants; takes the place of its last one.
+
+    Args:
+        wanted: By job; no more slots in all than are wanted of the receiver.
+        uses: What members have used through the sender.
+        stands: Whether slots that are freed later are wanted too.  If so,
+            there is no reply but the grants; if not, there is one at once.
+    """
 
     wanted: tuple[Wanted, ...]
     uses: tuple[Use, ...] = ()
+    stands: bool = False
 
 
 @wire.message('slots.grant')
--- a/src/cuminstack/slots/_renewal.py
+++ b/src/cuminstack/slots/_renewal.py
@@ -12,13 +12,15 @@
 )
 from cuminstack.slots._holdings import Holdings
 from cuminstack.slots._leased import SlotLease, pack, unpack
-from cuminstack.slots._ledger import LEASE_SECONDS, Ledger
+from cuminstack.slots._ledger import GRACE_SECONDS, LEASE_SECONDS, Ledger
 from cuminstack.slots._messages import Claim, Claimed, Grant
 from cuminstack.slots._owners import Owners
 from cuminstack.slots._policy import Effects
 
 #: Between two claims, in seconds.
-_RENEW_SECONDS: Final = 2
+_RENEW_SECONDS: Final = 4
+#: The same, while a new view is fresh, in seconds.
+_HURRY_SECONDS: Final = GRACE_SECONDS / 4
 #: Claims whose replies are waited for.
 _MAX_PENDING: Final = 8
 
@@ -41,6 +43,7 @@
         self._sent: dict[int, float] = {}
         self._renewed: dict[InstanceId, float] = {}
         self._claim_at: float = 0
+        self._hurry_until: float = 0
 
     def observe_instances(
         self,
@@ -50,13 +53,18 @@
     ) -> None:
         """Take a new view: endpoints change owners, holders are lost."""
         before = self._owner_map()
+        lost = set(self.owners.alive)
         self.owners.observe(alive)
+        lost.difference_update(self.owners.alive)
         for record in self.records.values():
             self._settle_ownership(record, fresh=False, now=now)
-        self._ledger.lose(self.owners.alive, now=now)
+        if lost:
+            self._claim_own(now)
+            self._ledger.lose(self.owners.alive, now=now)
         after = self._owner_map()
-        if before != after:
+        if lost or before != after:
             self._claim_at = now
+            self._hurry_until = now + GRACE_SECONDS
             for owner in set(after.values()) - set(before.values()):
                 self._renewed[owner] = now
 
@@ -115,11 +123,14 @@
         self._make(now)
         if now < self._claim_at:
             return ()
-        self._claim_at = now + _RENEW_SECONDS
+        hurry = now < self._hurry_until
+        pause = _HURRY_SECONDS if hurry else _RENEW_SECONDS
+        self._claim_at = now + pause
+        self._claim_own(now)
         held = self._by_owner()
-        self._ledger.claim(self._own, held.pop(self._own, ()), now=now)
-        for owner in set(self._renewed) - set(held):
-            self._renewed.pop(owner)
+        held.pop(self._own, None)
+        for idle in set(self._renewed) - set(held):
+            self._renewed.pop(idle)
         return tuple(
             self._claim(owner, leases, now) for owner, leases in held.items()
         )
@@ -193,6 +204,10 @@
         for lease in self._ledger.renew(now=now):
             self._holdings.add(lease)
 
+    def _claim_own(self, now: float) -> None:
+        leases = self._by_owner().get(self._own, ())
+        self._ledger.claim(self._own, leases, now=now)
+
     def _claim(
         self,
         owner: InstanceId,
--- /dev/null
+++ b/tests/slots_network.py
@@ -0,0 +1,198 @@
+"""Policies over a tiny network in memory, with endpoints that count."""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from cuminstack.core import (
+    EndpointId,
+    EndpointRecord,
+    Instance,
+    InstanceId,
+    Send,
+    StartTask,
+    TaskId,
+)
+from cuminstack.slots import Effects, LeasePolicy, QueuedTask
+
+_TICK_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Running:
+    """A task at an endpoint, and the instance that started it."""
+
+    own: InstanceId
+    start: StartTask
+
+
+@dataclass(slots=True)
+class Network:
+    """Instances, endpoints, and the messages between them.
+
+    Messages wait in `links` until they are delivered; a task runs until it
+    is told to end.
+    """
+
+    peers: Sequence[Instance]
+    endpoints: Sequence[EndpointRecord]
+    now: float = 0
+    policies: dict[InstanceId, LeasePolicy] = field(default_factory=dict)
+    links: dict[tuple[InstanceId, InstanceId], deque[Any]] = field(
+        default_factory=dict,
+    )
+    running: dict[TaskId, Running] = field(default_factory=dict)
+    tasks: dict[tuple[Any, int], QueuedTask] = field(default_factory=dict)
+    starts: Counter[tuple[Any, int]] = field(default_factory=Counter)
+    done: set[tuple[Any, int]] = field(default_factory=set)
+    refusals: int = 0
+    most: Counter[EndpointId] = field(default_factory=Counter)
+    room: dict[EndpointId, int] = field(default_factory=dict)
+    down: set[InstanceId] = field(default_factory=set)
+    cut: Callable[[InstanceId, InstanceId], bool] = lambda one, two: False
+
+    def boot(self) -> None:
+        """Make a policy for each instance, in one view."""
+        for own in self.peers:
+            self.policies[own.instance] = LeasePolicy(own, 1)
+        for own in self.peers:
+            self.view(own.instance, self.peers)
+        for record in self.endpoints:
+            self.room[record.endpoint] = record.slots
+            self.announce(record)
+
+    def announce(self, record: EndpointRecord) -> None:
+        """Tell every instance of an endpoint."""
+        for own in self.living():
+            policy = self.policies[own]
+            self.perform(own, policy.observe_endpoint(record, now=self.now))
+
+    def living(self) -> tuple[InstanceId, ...]:
+        """Give the instances that run."""
+        return tuple(each for each in self.policies if each not in self.down)
+
+    def view(self, own: InstanceId, alive: Sequence[Instance]) -> None:
+        """Give one instance a view."""
+        policy = self.policies[own]
+        self.perform(own, policy.observe_instances(alive, now=self.now))
+
+    def agree(self) -> None:
+        """Give all that run the view of just these."""
+        alive = [each for each in self.peers if each.instance not in self.down]
+        for own in self.living():
+            self.view(own, alive)
+
+    def submit(self, own: InstanceId, tasks: Sequence[QueuedTask]) -> None:
+        """Queue tasks at an instance."""
+        self.tasks.update(
+            {(task.task.job, task.task.index): task for task in tasks},
+        )
+        self.perform(own, self.policies[own].submit(tasks, now=self.now))
+
+    def perform(self, own: InstanceId, effects: Effects) -> None:
+        """Do what a policy asks for."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                link = self.links.setdefault((own, effect.to), deque())
+                link.append(effect.message)
+            else:
+                self._start(own, effect)
+
+    def end(self, task: TaskId) -> None:
+        """Let a running task end."""
+        ran = self.running.pop(task)
+        self.done.add((task.job, task.index))
+        if ran.own not in self.down:
+            self._finished(ran.own, ran.start, started=True)
+
+    def end_all(self) -> None:
+        """Let all tasks that run now end."""
+        for task in tuple(self.running):
+            self.end(task)
+
+    def deliver(self, limit: int = 10_000) -> None:
+        """Deliver messages, link by link, until none is left."""
+        full = self._full()
+        while limit > 0 and full:
+            for key in full:
+                message = self.links[key].popleft()
+                limit -= 1
+                self._deliver(*key, message)
+            full = self._full()
+
+    def step(self, seconds: float = _TICK_SECONDS) -> None:
+        """Let time pass, with its ticks, and deliver what is sent."""
+        until = self.now + seconds - _TICK_SECONDS / 2
+        while self.now < until:
+            self.now += _TICK_SECONDS
+            for own in self.living():
+                self.perform(own, self.policies[own].tick(now=self.now))
+            self.deliver()
+
+    def drain(self, rounds: int = 400) -> None:
+        """Go on until every task has ended."""
+        while rounds and self.open_tasks():
+            self.step()
+            self.end_all()
+            self.deliver()
+            rounds -= 1
+
+    def open_tasks(self) -> Iterable[tuple[Any, int]]:
+        """Give the tasks that haven't ended."""
+        return set(self.tasks) - self.done
+
+    def _full(self) -> list[tuple[InstanceId, InstanceId]]:
+        return [key for key, link in self.links.items() if link]
+
+    def _deliver(
+        self,
+        sender: InstanceId,
+        to: InstanceId,
+        message: Any,
+    ) -> None:
+        if {sender, to} & self.down or self.cut(sender, to):
+            return
+        policy = self.policies[to]
+        self.perform(to, policy.receive(sender, message, now=self.now))
+
+    def _start(self, own: InstanceId, start: StartTask) -> None:
+        place = (start.task.job, start.task.index)
+        load = self.load(start.endpoint)
+        if load >= self.room[start.endpoint]:
+            self.refusals += 1
+            self._refuse(own, start)
+            return
+        self.starts[place] += 1
+        self.running[start.task] = Running(own, start)
+        self.most[start.endpoint] = max(self.most[start.endpoint], load + 1)
+
+    def load(self, endpoint: EndpointId) -> int:
+        """Tell how many tasks run at an endpoint."""
+        return sum(
+            ran.start.endpoint == endpoint for ran in self.running.values()
+        )
+
+    def _refuse(self, own: InstanceId, start: StartTask) -> None:
+        self._finished(own, start, started=False)
+        task = start.task
+        again = replace(
+            self.tasks[task.job, task.index],
+            task=replace(task, attempt=task.attempt + 1),
+        )
+        self.perform(own, self.policies[own].submit([again], now=self.now))
+
+    def _finished(
+        self,
+        own: InstanceId,
+        start: StartTask,
+        *,
+        started: bool,
+    ) -> None:
+        effects = self.policies[own].finished(
+            start.task,
+            start.endpoint,
+            started=started,
+            now=self.now,
+        )
+        self.perform(own, effects)
