--- /dev/null
+++ b/src/cuminstack/health/__init__.py
@@ -0,0 +1,21 @@
+"""Which endpoints to trust with tasks."""
+
+from cuminstack.health._health import EndpointHealth
+from cuminstack.health._records import (
+    Failing,
+    LimitEndpoint,
+    Outcome,
+    Quarantine,
+    Slow,
+    Symptom,
+)
+
+__all__ = (
+    'EndpointHealth',
+    'Failing',
+    'LimitEndpoint',
+    'Outcome',
+    'Quarantine',
+    'Slow',
+    'Symptom',
+)
--- /dev/null
+++ b/src/cuminstack/health/_diagnosis.py
@@ -0,0 +1,89 @@
+"""Telling bad endpoints from bad jobs."""
+
+from collections import OrderedDict
+from collections.abc import Hashable, Mapping
+from statistics import median
+from typing import Final
+
+from cuminstack.core import EndpointId, ServiceRef
+from cuminstack.health._records import Failing, Slow, Symptom
+from cuminstack.health._window import Sample, Window
+
+#: Attempts, and different failed jobs, below which nothing is concluded.
+_MIN_SAMPLES: Final = 8
+_MIN_JOBS: Final = 3
+#: Part of failures from which an endpoint counts as failing.
+_FAILING_RATIO: Final = 0.5
+#: Endpoints at which a job fails before the job is to blame.
+_BAD_JOB_ENDPOINTS: Final = 2
+#: Jobs whose failures are remembered.
+_KEPT_JOBS: Final = 4096
+#: Answers below which a median means nothing.
+_MIN_ANSWERS: Final = 16
+#: Peers with a median, below which slowness means nothing.
+_MIN_PEERS: Final = 3
+
+
+class Diagnosis:
+    """Looks at the outcomes of all endpoints together."""
+
+    def __init__(self) -> None:
+        self._windows: dict[EndpointId, Window] = {}
+        self._failed_at: OrderedDict[Hashable, set[EndpointId]] = OrderedDict()
+
+    def record(self, endpoint: EndpointId, sample: Sample) -> None:
+        """Take an outcome."""
+        self._windows.setdefault(endpoint, Window()).add(sample)
+        if sample.bad:
+            self._failed_at.setdefault(sample.job, set()).add(endpoint)
+            while len(self._failed_at) > _KEPT_JOBS:
+                self._failed_at.popitem(last=False)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop what was seen of an endpoint."""
+        self._windows.pop(endpoint, None)
+
+    def symptom(
+        self,
+        endpoint: EndpointId,
+        service: ServiceRef,
+    ) -> Symptom | None:
+        """Tell what is wrong with an endpoint, if anything."""
+        return self._failing(endpoint) or self._slow(endpoint, service)
+
+    def _failing(self, endpoint: EndpointId) -> Failing | None:
+        window = self._windows.get(endpoint, Window())
+        fair = [each for each in window.samples if not self._blames_job(each)]
+        failed = [sample for sample in fair if sample.bad]
+        jobs = len({sample.job for sample in failed})
+        enough = len(fair) >= _MIN_SAMPLES and jobs >= _MIN_JOBS
+        if enough and len(failed) >= _FAILING_RATIO * len(fair):
+            return Failing(len(failed), len(fair), jobs)
+        return None
+
+    def _blames_job(self, sample: Sample) -> bool:
+        places = self._failed_at.get(sample.job, set())
+        return sample.bad and len(places) >= _BAD_JOB_ENDPOINTS
+
+    def _slow(
+        self,
+        endpoint: EndpointId,
+        service: ServiceRef,
+    ) -> Slow | None:
+        medians = self._medians(service)
+        own = medians.pop(endpoint, None)
+        if own is None or len(medians) < _MIN_PEERS:
+            return None
+        slow = Slow(own, median(medians.values()))
+        return slow if own > slow.limit else None
+
+    def _medians(self, service: ServiceRef) -> dict[EndpointId, float]:
+        found: Mapping[EndpointId, float | None] = {
+            endpoint: window.median(service, at_least=_MIN_ANSWERS)
+            for endpoint, window in self._windows.items()
+        }
+        return {
+            endpoint: seconds
+            for endpoint, seconds in found.items()
+            if seconds is not None
+        }
