--- /dev/null
+++ b/src/cuminstack/slots/_borrowing.py
@@ -0,0 +1,156 @@
+"""Whom this instance has asked for slots, and whom to ask next."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from math import ceil
+from typing import Final
+
+from cuminstack.core import InstanceId
+from cuminstack.slots._demand import WANT_SECONDS
+from cuminstack.slots._hints import Hints
+
+#: Until an ask without a reply is thought lost, in seconds.
+_REPLY_SECONDS: Final = 0.1
+#: Until an ask that stands is thought forgotten, in seconds.
+_STAND_SECONDS: Final = WANT_SECONDS
+#: Until an instance that had too little is asked anew, in seconds.
+_DRY_SECONDS: Final = 0.05
+#: Slots asked for by asks that stand, for each one that is missing.
+_SPREAD: Final = 2
+#: Free slots that an instance must be thought to hold to be asked.
+_WORTH_ASKING: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """An ask to be sent."""
+
+    peer: InstanceId
+    count: int
+    stands: bool
+
+
+@dataclass(slots=True)
+class _Asked:
+    """An ask that was sent, and the slots that may still come for it."""
+
+    at: float
+    count: int
+    stands: bool
+
+    def open(self, now: float) -> bool:
+        """Whether slots may still come."""
+        limit = _STAND_SECONDS if self.stands else _REPLY_SECONDS
+        return self.count > 0 and now - self.at < limit
+
+
+class Borrowing:
+    """Asks one instance after another, the richest in free slots first.
+
+    Where none is left that may have any, asks stand at several instances, to
+    be met as slots are freed.
+    """
+
+    def __init__(self) -> None:
+        self.hints = Hints()
+        self._asked: dict[InstanceId, _Asked] = {}
+        self._dry: dict[InstanceId, float] = {}
+
+    def keep(self, alive: Iterable[InstanceId]) -> None:
+        """Forget the instances that have left the view."""
+        living = tuple(alive)
+        self.hints.keep(living)
+        self._dry = {
+            peer: at for peer, at in self._dry.items() if peer in living
+        }
+        self._asked = {
+            peer: asked for peer, asked in self._asked.items() if peer in living
+        }
+
+    def choose(
+        self,
+        peers: Iterable[InstanceId],
+        count: int,
+        *,
+        now: float,
+    ) -> tuple[Request, ...]:
+        """Choose whom to ask now for so many slots."""
+        self._asked = {
+            peer: asked
+            for peer, asked in self._asked.items()
+            if asked.open(now)
+        }
+        ready = [peer for peer in peers if peer not in self._asked]
+        awaited = self._awaited(stands=False)
+        requests = self._probe(ready, count - awaited, now)
+        if not requests and not awaited:
+            standing = self._awaited(stands=True)
+            requests = self._stand(ready, _SPREAD * count - standing)
+        for request in requests:
+            asked = _Asked(now, request.count, request.stands)
+            self._asked[request.peer] = asked
+        return requests
+
+    def granted(
+        self,
+        peer: InstanceId,
+        count: int,
+        *,
+        reply: bool,
+        now: float,
+    ) -> None:
+        """Take what an instance has sent.
+
+        One that sent less than it was asked for has nothing more that fits,
+        whatever it says of its free slots.
+        """
+        asked = self._asked.get(peer)
+        if asked is None:
+            return
+        asked.count -= count
+        probed = reply and not asked.stands
+        if probed and asked.count > 0:
+            self._dry[peer] = now + _DRY_SECONDS
+        if asked.count <= 0 or probed:
+            self._asked.pop(peer)
+
+    def _awaited(self, *, stands: bool) -> int:
+        return sum(
+            asked.count
+            for asked in self._asked.values()
+            if asked.stands is stands
+        )
+
+    def _probe(
+        self,
+        ready: Iterable[InstanceId],
+        count: int,
+        now: float,
+    ) -> tuple[Request, ...]:
+        """Ask the fewest that may have so many free slots."""
+        guesses = {
+            peer: self.hints.estimate(peer, now=now)
+            for peer in ready
+            if self._dry.get(peer, now) <= now
+        }
+        requests: list[Request] = []
+        richest = sorted(guesses, key=lambda each: (-guesses[each], each))
+        for peer in richest:
+            if count <= 0 or guesses[peer] < _WORTH_ASKING:
+                break
+            part = min(count, ceil(guesses[peer]))
+            requests.append(Request(peer, part, stands=False))
+            count -= part
+        return tuple(requests)
+
+    def _stand(
+        self,
+        ready: Sequence[InstanceId],
+        count: int,
+    ) -> tuple[Request, ...]:
+        """Let even parts of so many slots stand."""
+        if not ready or count <= 0:
+            return ()
+        every = ceil(count / len(ready))
+        chosen = ready[: ceil(count / every)]
+        return tuple(Request(peer, every, stands=True) for peer in chosen)
