Check and compare sheets in files

Cause: an operator wants to see every fault of a sheet, and what it would change, before submitting it.

Change: cuminstack check and diff on top of the sheet package; problems list its faults (row, column, kind, detail) as the instances find them.

--- a/src/cuminstack/cli/_exit.py
+++ b/src/cuminstack/cli/_exit.py
@@ -6,7 +6,6 @@
     BadAddress,
     ClientError,
     RequestRefused,
-    SheetFaultView,
 )
 
 
@@ -37,10 +36,5 @@
     """Give an error as text for people, a line for each fault of a sheet."""
     lines = [str(error)]
     if isinstance(error, RequestRefused):
-        lines.extend(map(_describe_fault, error.problem.faults))
+        lines.extend(map(str, error.problem.faults))
     return '\n'.join(lines)
-
-
-def _describe_fault(fault: SheetFaultView) -> str:
-    where = f'row {fault.row}, column {fault.column}'
-    return f'{where}: expected {fault.expected}, got {fault.got!r}'
--- a/src/cuminstack/cli/_program.py
+++ b/src/cuminstack/cli/_program.py
@@ -15,6 +15,7 @@
 from cuminstack.cli._views import render
 from cuminstack.client import BadAddress, ClientError, OperatorClient
 from cuminstack.commands import submit_sheet
+from cuminstack.sheet import SheetFaults
 
 _INSTANCE: Final = 'http://127.0.0.1:8002'
 _TIMEOUT_SECONDS: Final = 5
@@ -39,7 +40,8 @@
 class Tool:
     """Drive cuminstack and see what it does.
 
-    Commands: submit SHEET, sheet, status, members, endpoints, histograms.
+    Commands: submit SHEET, check SHEET, diff OLD NEW, sheet, status, members,
+    endpoints, histograms.
     Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable.
 
     Args:
@@ -68,6 +70,32 @@
         """
         return Action(lambda: self._submit(str(sheet)))
 
+    def check(self, sheet: str) -> Action:
+        """Check a sheet before it is submitted; no instance is asked.
+
+        Args:
+            sheet: Path of the CSV file.
+        """
+        return Action(
+            lambda: self._judge(queries.check_sheet(_read_file(str(sheet)))),
+        )
+
+    def diff(self, old: str, new: str) -> Action:
+        """Show what differs between two sheets; no instance is asked.
+
+        Args:
+            old: Path of a CSV file.
+            new: Path of another one.
+        """
+        return Action(
+            lambda: self._judge(
+                queries.compare_sheets(
+                    _read_file(str(old)),
+                    _read_file(str(new)),
+                ),
+            ),
+        )
+
     def sheet(self) -> Action:
         """Print the sheet in force."""
         return Action(lambda: self._ask(queries.fetch_sheet).decode().rstrip())
@@ -111,6 +139,12 @@
         except ClientError as error:
             _end(exit_code_of(error), describe(error))
 
+    def _judge(self, found: object) -> str:
+        if isinstance(found, SheetFaults):
+            lines = map(str, found.faults)
+            _end(ExitCode.refused, '\n'.join(lines))
+        return self._show(found)
+
     def _show(self, view: object) -> str:
         if self._as_json:
             return msgspec.json.encode(view).decode()
--- a/src/cuminstack/cli/_views.py
+++ b/src/cuminstack/cli/_views.py
@@ -16,6 +16,8 @@
 from cuminstack.queries import (
     EndpointsView,
     MembersView,
+    SheetChanges,
+    SheetSummary,
     StatusView,
 )
 
@@ -45,6 +47,21 @@
     return f'{told}: version {reply.version}, digest {reply.digest}'
 
 
+@_renders(SheetSummary)
+def _render_summary(summary: SheetSummary) -> str:
+    facts = dataclasses.asdict(summary).items()
+    named = [(name.replace('_', ' '), found) for name, found in facts]
+    return render_table(('fact', 'value'), named)
+
+
+@_renders(SheetChanges)
+def _render_changes(changes: SheetChanges) -> str:
+    lines = [f'version {changes.old_version} -> {changes.version}']
+    lines.extend(f'- {row}' for row in changes.removed)
+    lines.extend(f'+ {row}' for row in changes.added)
+    return '\n'.join(lines)
+
+
 @_renders(StatusView)
 def _render_status(status: StatusView) -> str:
     return '\n'.join((_fact_table(status), '', _instance_table(status)))
--- a/src/cuminstack/client/__init__.py
+++ b/src/cuminstack/client/__init__.py
@@ -8,7 +8,6 @@
     MalformedReply,
     Problem,
     RequestRefused,
-    SheetFaultView,
     Unreachable,
 )
 
@@ -21,6 +20,5 @@
     'Partial',
     'Problem',
     'RequestRefused',
-    'SheetFaultView',
     'Unreachable',
 )
--- a/src/cuminstack/client/_errors.py
+++ b/src/cuminstack/client/_errors.py
@@ -2,22 +2,7 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class SheetFaultView:
-    """One fault of a sheet, as a problem document lists it.
-
-    Args:
-        row: Row of the sheet, from 1.
-        column: Column of the row, from 1; 0 for the whole row.
-        expected: What may stand there.
-        got: What stands there.
-    """
-
-    row: int
-    column: int
-    expected: str
-    got: str = ''
+from cuminstack.sheet import SheetFault
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +25,7 @@
     detail: str = ''
     not_run: bool = False
     field: str = ''
-    faults: tuple[SheetFaultView, ...] = ()
+    faults: tuple[SheetFault, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cuminstack/queries/__init__.py
+++ b/src/cuminstack/queries/__init__.py
@@ -21,6 +21,12 @@
     SheetView,
     StatusView,
 )
+from cuminstack.queries._sheets import (
+    SheetChanges,
+    SheetSummary,
+    check_sheet,
+    compare_sheets,
+)
 
 __all__ = (
     'EndpointHealth',
@@ -32,9 +38,13 @@
     'LoadView',
     'MemberView',
     'MembersView',
+    'SheetChanges',
     'SheetStanding',
+    'SheetSummary',
     'SheetView',
     'StatusView',
+    'check_sheet',
+    'compare_sheets',
     'fetch_endpoints',
     'fetch_histograms',
     'fetch_members',
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,14 +7,15 @@
 import pytest
 
 from cuminstack.cli import ExitCode, render_table, run
-from cuminstack.client import Problem, SheetFaultView
+from cuminstack.client import Problem
+from cuminstack.sheet import FaultKind, SheetFault
 from operator_fixtures import SHEET, StandInInstance, dead_url
 
 FAULTY = Problem(
     title='sheet faulty',
     status=422,
     not_run=True,
-    faults=(SheetFaultView(2, 3, 'a share above 0', 'many'),),
+    faults=(SheetFault(2, 3, FaultKind.bad_number, 'many'),),
 )
 UNDECIDED = Problem(title='no quorum', status=503, not_run=False)
 
@@ -120,6 +121,45 @@
         assert code is ExitCode.unreachable
 
 
+class TestSheetFiles:
+    """Sheets in files are checked and compared without an instance."""
+
+    async def test_check(
+        self,
+        sheet: str,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        assert await call('check', sheet, '--json') is ExitCode.ok
+        found = json.loads(capsys.readouterr().out)
+        assert found['version'] == 7
+        assert found['members'] == 1
+
+    async def test_faults(
+        self,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        path = tmp_path / 'bad.csv'
+        path.write_bytes(b'sheet,7,6\nmember,tkemali,many,128,5000\n')
+        assert await call('check', str(path)) is ExitCode.refused
+        assert 'row 2, column 3: bad_number' in capsys.readouterr().err
+
+    async def test_diff(
+        self,
+        sheet: str,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        path = tmp_path / 'new.csv'
+        path.write_bytes(SHEET.replace(b',2,', b',3,').replace(b'7,6', b'8,7'))
+        assert await call('diff', sheet, str(path)) is ExitCode.ok
+        assert capsys.readouterr().out.splitlines() == [
+            'version 7 -> 8',
+            '- member,tkemali,2,128,5000',
+            '+ member,tkemali,3,128,5000',
+        ]
+
+
 class TestExitCodes:
     """Scripts can tell the ends apart."""
 
