Fence off promises that a replica made before it lost its disk

Cause: the specification showed that a life check on accept alone isn't enough: a proposer that counts a promise of the earlier life of a replica can overwrite a chosen value through the others. Change: a recovering replica leaves a fence at those it recovers from; their promises carry it, and a proposer drops what is fenced off. Conclusion: the fence is needed; a test keeps the variant without it.

--- a/src/cuminstack/register/__init__.py
+++ b/src/cuminstack/register/__init__.py
@@ -10,6 +10,7 @@
 from cuminstack.register._messages import (
     Accept,
     Accepted,
+    Fence,
     Fetch,
     Fetched,
     Founder,
@@ -72,6 +73,7 @@
     'Done',
     'Effect',
     'Effects',
+    'Fence',
     'Fetch',
     'Fetched',
     'Founder',
--- a/src/cuminstack/register/_attempt.py
+++ b/src/cuminstack/register/_attempt.py
@@ -18,6 +18,7 @@
     Refused,
     set_stamp,
 )
+from cuminstack.register._promises import Promises
 from cuminstack.register._resolve import Resolution
 from cuminstack.register._values import EMPTY_VALUE, Value, make_transfer
 
@@ -59,7 +60,7 @@
         self._known = known
         self._decide = decide
         self._phase = Phase.preparing
-        self._promises: dict[InstanceId, Promise] = {}
+        self._promises = Promises()
         self._accepted: set[InstanceId] = set()
         self._refused: set[InstanceId] = set()
         self._exposed: set[InstanceId] = set()
@@ -116,35 +117,27 @@
         if self._phase is not Phase.fetching:
             return _NOTHING
         value = self._known.read(reply.transfer)
-        if value is None or value.stamp != self._newest.stamp:
+        if value is None or value.stamp != self._promises.newest.stamp:
             return _NOTHING
         return self._propose(value)
 
-    @property
-    def _newest(self) -> Promise:
-        return max(self._promises.values(), key=_accepted_ballot)
-
     @property
     def _is_settled(self) -> bool:
-        newest = self._newest.accepted
-        holders = sum(
-            promise.accepted == newest for promise in self._promises.values()
-        )
-        return holders >= self._quorum
+        return len(self._promises.holders) >= self._quorum
 
     def _prepare(self) -> Sends:
         request = Prepare(self.ballot, self._set_stamp)
-        answered = self._promises.keys() | self._refused
         return tuple(
             Send(replica, request)
             for replica in self._replicas
-            if replica not in answered
+            if replica not in self._promises
         )
 
     def _take_promise(self, sender: InstanceId, promise: Promise) -> Sends:
         if sender in self._promises:
             return _NOTHING
-        self._promises[sender] = promise
+        self._promises.add(sender, promise)
+        self._refused.discard(sender)
         match self._phase:
             case Phase.preparing:
                 return self._read()
@@ -157,20 +150,17 @@
     def _read(self) -> Sends:
         if len(self._promises) < self._quorum:
             return _NOTHING
-        current = self._known.find(self._newest.stamp)
+        current = self._known.find(self._promises.newest.stamp)
         if current is None:
             self._phase = Phase.fetching
             return self._fetch()
         return self._propose(current)
 
     def _fetch(self) -> Sends:
-        newest = self._newest
+        newest = self._promises.newest
         request = Fetch(newest.stamp, self._known.fetch_base.stamp)
-        return tuple(
-            Send(replica, request)
-            for replica, promise in self._promises.items()
-            if promise.stamp == newest.stamp
-        )
+        holders = self._promises.holders
+        return tuple(Send(replica, request) for replica in holders)
 
     def _propose(self, current: Value) -> Sends:
         self._current = current
@@ -185,13 +175,13 @@
         answered = self._accepted | self._refused
         effects: list[Send] = []
         for replica in replicas:
-            if replica not in answered:
+            if replica in self._promises and replica not in answered:
                 effects.extend(self._accept_at(replica))
         return tuple(effects)
 
     def _accept_at(self, replica: InstanceId, *, whole: bool = False) -> Sends:
         resolution = self._resolution
-        promise = self._promises[replica]
+        promise = self._promises.of(replica)
         if resolution is None or self._holds_already(promise):
             return _NOTHING
         if resolution.value is not self._current:
@@ -222,7 +212,3 @@
             # Promises only grow: this ballot is never accepted there.
             self._exposed.discard(sender)
         return _NOTHING
-
-
-def _accepted_ballot(promise: Promise) -> Ballot:
-    return promise.accepted
--- a/src/cuminstack/register/_messages.py
+++ b/src/cuminstack/register/_messages.py
@@ -38,19 +38,45 @@
 
 @dataclass(frozen=True, slots=True)
 class Founder:
-    """A replica that had never voted when the register was founded."""
+    """A replica that had never voted when the register was founded.
+
+    Args:
+        replica: Its name.
+        birth: Incarnation of the process that found no file.
+    """
+
+    replica: InstanceId
+    birth: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """What a replica knows of the life of another.
+
+    Args:
+        replica: The other.
+        life: The ballot with which it recovered; what it promised in an
+            earlier life counts no longer.
+    """
 
     replica: InstanceId
-    life: int
+    life: Ballot
 
 
 @message('register.prepare')
 @dataclass(frozen=True, slots=True)
 class Prepare:
-    """Ask a replica to take part in no ballot below this one."""
+    """Ask a replica to take part in no ballot below this one.
+
+    Args:
+        ballot: The ballot.
+        replica_set: Stands for the replica set of the proposer.
+        recovers: Whether the proposer is a replica that recovers with it.
+    """
 
     ballot: Ballot
     replica_set: bytes
+    recovers: bool = False
 
 
 @message('register.promise')
@@ -60,15 +86,17 @@
 
     Args:
         ballot: The ballot of the promise.
-        life: Changes when the replica loses its memory.
+        life: The ballot with which the replica recovered last.
         accepted: The ballot that was accepted last.
         stamp: Stamp of the value that was accepted last.
+        fences: What the replica knows of the lives of others.
     """
 
     ballot: Ballot
-    life: int
+    life: Ballot
     accepted: Ballot
     stamp: bytes
+    fences: tuple[Fence, ...] = ()
 
 
 @message('register.accept')
@@ -77,7 +105,7 @@
     """Ask a replica that promised, in the life in which it did, to accept."""
 
     ballot: Ballot
-    life: int
+    life: Ballot
     replica_set: bytes
     transfer: Transfer
 
@@ -135,7 +163,7 @@
 class Greet:
     """Ask another replica whether it votes; from one that doesn't."""
 
-    life: int
+    birth: int
     replica_set: bytes
 
 
@@ -145,14 +173,14 @@
     """Tell what this replica may do.
 
     Args:
-        asked: Life of the replica that asked.
-        life: Life of the one that answers.
+        asked: Birth of the replica that asked.
+        birth: Birth of the one that answers.
         standing: What it may do.
         founders: Who founded the register that it votes on.
     """
 
     asked: int
-    life: int
+    birth: int
     standing: Standing
     founders: tuple[Founder, ...]
 
--- a/src/cuminstack/register/_recovery.py
+++ b/src/cuminstack/register/_recovery.py
@@ -29,6 +29,7 @@
     set_stamp,
 )
 from cuminstack.register._outcomes import Effects
+from cuminstack.register._promises import Promises
 from cuminstack.register._state import AcceptorState
 from cuminstack.register._values import Value
 
@@ -57,7 +58,7 @@
         self._others = tuple(each for each in state.replicas if each != own)
         self._needed = recovery_quorum(state.replicas)
         self._greetings: dict[InstanceId, Greeting] = {}
-        self._promises: dict[InstanceId, Promise] = {}
+        self._promises = Promises()
         self._ballot: Ballot | None = None
         self._again_at: float = 0
 
@@ -73,7 +74,7 @@
         self._again_at = now + _ROUND_SECONDS
         if self._state.standing is Standing.blank and not self._others:
             return self._found()
-        greet = Greet(self._state.life, self._set_stamp)
+        greet = Greet(self._state.birth, self._set_stamp)
         greets = (Send(other, greet) for other in self._others)
         return (*greets, *self._prepare())
 
@@ -91,7 +92,7 @@
             case Greeting():
                 return self._greeted(sender, reply)
             case Promise() if reply.ballot == self._ballot:
-                self._promises[sender] = reply
+                self._promises.add(sender, reply)
                 return self._read()
             case Refused() if reply.ballot == self._ballot:
                 if reply.refusal is Refusal.promised:
@@ -104,13 +105,9 @@
     def _state(self) -> AcceptorState:
         return self._acceptor.state
 
-    @property
-    def _newest(self) -> Promise:
-        return max(self._promises.values(), key=_accepted_ballot)
-
     @property
     def _as_founder(self) -> Founder:
-        return Founder(self._own, self._state.life)
+        return Founder(self._own, self._state.birth)
 
     def _prepare(self) -> Effects:
         """Have a ballot above all seen promised, if anyone votes."""
@@ -119,8 +116,8 @@
             return ()
         if self._ballot is None:
             self._ballot = self._ballots.take()
-            self._promises.clear()
-        request = Prepare(self._ballot, self._set_stamp)
+            self._promises = Promises()
+        request = Prepare(self._ballot, self._set_stamp, recovers=True)
         return tuple(
             Send(other, request)
             for other in self._others
@@ -130,24 +127,21 @@
     def _read(self) -> Effects:
         if len(self._promises) < self._needed:
             return ()
-        newest = self._newest
+        newest = self._promises.newest
         value = self._known.find(newest.stamp)
         if value is not None:
             return self._recover(newest, value)
         request = Fetch(newest.stamp, self._known.fetch_base.stamp)
-        return tuple(
-            Send(replica, request)
-            for replica, promise in self._promises.items()
-            if promise.stamp == newest.stamp
-        )
+        holders = self._promises.holders
+        return tuple(Send(replica, request) for replica in holders)
 
     def _fetched(self, reply: Fetched) -> Effects:
         if len(self._promises) < self._needed:
             return ()
         value = self._known.read(reply.transfer)
-        if value is None or value.stamp != self._newest.stamp:
+        if value is None or value.stamp != self._promises.newest.stamp:
             return ()
-        return self._recover(self._newest, value)
+        return self._recover(self._promises.newest, value)
 
     def _recover(self, newest: Promise, value: Value) -> Effects:
         state = replace(
@@ -156,11 +150,13 @@
             promised=newest.ballot,
             accepted=newest.accepted,
             value=value,
+            life=newest.ballot,
+            fences=self._promises.fences,
         )
         return self._acceptor.change(state)
 
     def _greeted(self, sender: InstanceId, greeting: Greeting) -> Effects:
-        if greeting.asked != self._state.life or sender not in self._others:
+        if greeting.asked != self._state.birth or sender not in self._others:
             return ()
         self._greetings[sender] = greeting
         if self._state.standing is not Standing.blank:
@@ -174,7 +170,7 @@
 
     def _found(self) -> Effects:
         others = (
-            Founder(other, greeting.life)
+            Founder(other, greeting.birth)
             for other, greeting in self._greetings.items()
         )
         return self._vote((self._as_founder, *others))
@@ -186,7 +182,3 @@
             founders=founders,
         )
         return self._acceptor.change(state)
-
-
-def _accepted_ballot(promise: Promise) -> Ballot:
-    return promise.accepted
--- a/src/cuminstack/register/_register.py
+++ b/src/cuminstack/register/_register.py
@@ -96,7 +96,7 @@
         state = self._acceptor.state
         self._ballots.observe(state.promised)
         self._known.add(state.value)
-        return self._deliver(self._acceptor.start(now=now), now)
+        return self._deliver(self._acceptor.start(), now)
 
     def submit(self, sheet: Sheet, *, ticket: int, now: float) -> Effects:
         """Submit a sheet; `Done` with the ticket tells the outcome."""
@@ -131,13 +131,13 @@
         """Take that the state of a `Persist` is synced."""
         if self._acceptor is None:
             return ()
-        return self._deliver(self._acceptor.persisted(sequence, now=now), now)
+        return self._deliver(self._acceptor.persisted(sequence), now)
 
     def persist_failed(self, sequence: int, *, now: float) -> Effects:
         """Take that the state of a `Persist` may not be synced."""
-        if self._acceptor is None:
-            return ()
-        return self._acceptor.persist_failed(sequence, now=now)
+        if self._acceptor is not None:
+            self._acceptor.persist_failed(sequence, now=now)
+        return ()
 
     def _make_recovery(self) -> Recovery | None:
         if self._acceptor is None:
--- a/src/cuminstack/register/_state.py
+++ b/src/cuminstack/register/_state.py
@@ -9,7 +9,7 @@
 
 from cuminstack.core import InstanceId
 from cuminstack.register._ballots import NO_BALLOT, Ballot
-from cuminstack.register._messages import Founder, Standing
+from cuminstack.register._messages import Fence, Founder, Standing
 from cuminstack.register._values import EMPTY_VALUE, Superseded, Value
 from cuminstack.sheet import SheetFaults, parse  # noqa: WPS347
 
@@ -22,20 +22,24 @@
 
     Args:
         replicas: The replica set that it belongs to, sorted.
-        life: Changes when the replica loses its memory.
+        birth: Incarnation of the process that found no file.
         standing: What it may do.
         promised: It takes part in no ballot below this one.
         accepted: The ballot that it accepted last.
         value: The value of that ballot.
+        life: The ballot with which it recovered last, if it ever did.
+        fences: What it knows of the lives of the others.
         founders: Who founded the register that it votes on.
     """
 
     replicas: tuple[InstanceId, ...]
-    life: int
+    birth: int
     standing: Standing
     promised: Ballot = NO_BALLOT
     accepted: Ballot = NO_BALLOT
     value: Value = EMPTY_VALUE
+    life: Ballot = NO_BALLOT
+    fences: tuple[Fence, ...] = ()
     founders: tuple[Founder, ...] = ()
 
 
@@ -50,10 +54,12 @@
 class _Record:
     record_version: int
     replicas: tuple[InstanceId, ...]
-    life: int
+    birth: int
     standing: Standing
     promised: Ballot
     accepted: Ballot
+    life: Ballot
+    fences: tuple[Fence, ...]
     founders: tuple[Founder, ...]
     history: tuple[Superseded, ...]
     sheet: bytes
@@ -65,10 +71,12 @@
     record = _Record(
         record_version=_RECORD_VERSION,
         replicas=state.replicas,
-        life=state.life,
+        birth=state.birth,
         standing=state.standing,
         promised=state.promised,
         accepted=state.accepted,
+        life=state.life,
+        fences=state.fences,
         founders=state.founders,
         history=state.value.history,
         sheet=sheet.canonical if sheet.version else b'',
@@ -97,11 +105,13 @@
         return BadRecord(f'record version {found.record_version}')
     return AcceptorState(
         replicas=found.replicas,
-        life=found.life,
+        birth=found.birth,
         standing=found.standing,
         promised=found.promised,
         accepted=found.accepted,
         value=Value(sheet, found.history),
+        life=found.life,
+        fences=found.fences,
         founders=found.founders,
     )
 
@@ -124,8 +134,8 @@
 
     Args:
         replicas: The replica set, from the settings.
-        incarnation: Grows with each start of the process; names the life
-            of a replica that has no memory.
+        incarnation: Grows with each start of the process; the birth of a
+            replica that has no memory.
         record: What was loaded, if it was whole.
         damaged: Whether there was something that wasn't whole.
     """
--- /dev/null
+++ b/tests/test_spec_register.py
@@ -0,0 +1,28 @@
+"""The specification of the register, and that its check can fail."""
+
+import pytest
+from spec.register import FLAW_BOUNDS, SOUND_BOUNDS, Bounds, Flaw, check
+
+
+class TestSound:
+    """The protocol as it is built."""
+
+    @pytest.mark.parametrize('bounds', SOUND_BOUNDS[:2])
+    def test_holds(self, bounds: Bounds) -> None:
+        verdict = check(bounds)
+        assert verdict.holds is True
+        assert verdict.states > 1000
+
+
+class TestFlaws:
+    """Each part of the protocol is needed."""
+
+    @pytest.mark.parametrize('flaw', FLAW_BOUNDS)
+    def test_has_a_counterexample(self, flaw: Flaw) -> None:
+        verdict = check(FLAW_BOUNDS[flaw], flaw)
+        assert verdict.holds is False
+        assert verdict.trace
+
+    @pytest.mark.parametrize('flaw', FLAW_BOUNDS)
+    def test_sound_within_the_same_bounds(self, flaw: Flaw) -> None:
+        assert check(FLAW_BOUNDS[flaw]).holds is True
