Hand the messages of the dispatch policy to it

Cause: with the lease policy each slot message was unknown to the node, which closed the link it came on; jobs hung (3 process tests).

--- a/src/cuminstack/daemon/_program.py
+++ b/src/cuminstack/daemon/_program.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import fire
+from fire.decorators import SetParseFns
 
 from cuminstack.daemon._application import Application
 from cuminstack.logs import configure_logs
@@ -40,4 +41,6 @@
 
 def main() -> None:
     """Start the program with the arguments of the command line."""
-    fire.Fire(run, name='cuminstackd')
+    # Else a path that looks like a number or a list would become one.
+    command = SetParseFns(settings=str)(run)
+    fire.Fire(command, name='cuminstackd')
--- a/src/cuminstack/node/_dispatch.py
+++ b/src/cuminstack/node/_dispatch.py
@@ -1,6 +1,7 @@
 """Between the jobs accepted here and the dispatch policy."""
 
-from cuminstack.core import EndpointId, StartTask, TaskId
+from cuminstack import wire
+from cuminstack.core import EndpointId, InstanceId, StartTask, TaskId
 from cuminstack.endpoints import EndpointChanged, EndpointGone
 from cuminstack.jobs import (
     FreeSlot,
@@ -9,7 +10,7 @@
     StartEnd,
     Withdraw,
 )
-from cuminstack.node._routing import Effects, on_effect
+from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.slots import Policy
 
 #: Run time after which an attempt without any estimate is asked after.
@@ -39,6 +40,17 @@
         """End late jobs, and let the policy do what is due."""
         return (*self._book.tick(now=now), *self._policy.tick(now=now))
 
+    @on_message(*wire.messages_of('slots'))
+    def _receive(
+        self,
+        sender: InstanceId,
+        message: object,
+        *,
+        now: float,
+    ) -> Effects:
+        # Which messages there are is the policy's affair.
+        return self._policy.receive(sender, message, now=now)
+
     @on_effect(Queue)
     def _queue(self, effect: Queue, *, now: float) -> Effects:
         return self._policy.submit(effect.tasks, now=now)
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -160,6 +160,11 @@
         """The jobs that were accepted here; for queries only."""
         return self._book
 
+    @property
+    def handled_messages(self) -> frozenset[type[Any]]:
+        """Types of the messages that peers may send."""
+        return self._router.handled_messages
+
     @property
     def busy(self) -> int:
         """Jobs that callers still wait for."""
--- a/src/cuminstack/node/_routing.py
+++ b/src/cuminstack/node/_routing.py
@@ -63,6 +63,11 @@
             for marked in getattr(function, _EFFECT_MARK, ()):
                 self._effect_handlers[marked] = getattr(desk, name)
 
+    @property
+    def handled_messages(self) -> frozenset[type[Any]]:
+        """Types of the messages that some desk handles."""
+        return frozenset(self._message_handlers)
+
     def receive(
         self,
         sender: InstanceId,
--- a/src/cuminstack/wire/__init__.py
+++ b/src/cuminstack/wire/__init__.py
@@ -11,6 +11,7 @@
     encode,
     kind_of,
     message,
+    messages_of,
 )
 
 __all__ = (
@@ -24,4 +25,5 @@
     'encode',
     'kind_of',
     'message',
+    'messages_of',
 )
--- a/src/cuminstack/wire/_codec.py
+++ b/src/cuminstack/wire/_codec.py
@@ -66,6 +66,15 @@
     return _names[type(body)]
 
 
+def messages_of(part: str) -> tuple[type[Any], ...]:
+    """Give the messages of one part: those of the kinds `part.…`."""
+    return tuple(
+        body_type
+        for kind, body_type in _kinds.items()
+        if kind.partition('.')[0] == part
+    )
+
+
 def encode(body: object) -> bytes:
     """Encode a registered message as one frame."""
     plain = msgspec.to_builtins(body, builtin_types=(bytes,))
