Name a field that is missing inside a task

Cause: the problem for a task without payload named 'tasks[0]', not the field. Change: the field at fault is the path joined with the missing name.

--- a/src/cuminstack/daemon/_bodies.py
+++ b/src/cuminstack/daemon/_bodies.py
@@ -179,7 +179,9 @@
         return decoder.decode(raw)
     except msgspec.ValidationError as error:
         detail, _, path = str(error).partition(' - at `$')
-        faulty = path.rstrip('`').lstrip('.') or _missing_field(detail)
+        place = path.rstrip('`').lstrip('.')
+        names = filter(None, (place, _missing_field(detail)))
+        faulty = '.'.join(names) or 'body'
         raise _unprocessable(detail, faulty) from error
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise BadRequest(
@@ -192,7 +194,7 @@
 
 def _missing_field(detail: str) -> str:
     """Take the field's name out of a message like: missing field `tasks`."""
-    return detail.split('`')[1] if 'required field' in detail else 'body'
+    return detail.split('`')[1] if 'required field' in detail else ''
 
 
 def _check_tasks(body: JobBody, limits: LimitSettings) -> None:
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from types import MappingProxyType
 from typing import Any
 
 from bench._polling import until
@@ -19,17 +20,19 @@
 PATIENCE = 20
 
 #: Time-outs short enough for tests.
-SETTINGS = {
-    'timeouts': {
-        'heartbeat_ms': '100',
-        'suspect_ms': '500',
-        'gone_ms': '1500',
-        'announce_ms': '200',
-        'endpoint_lease_ms': '1000',
-        'silent_factor': '2',
-        'silent_floor_ms': '400',
+SETTINGS: Mapping[str, Mapping[str, str]] = MappingProxyType(
+    {
+        'timeouts': {
+            'heartbeat_ms': '100',
+            'suspect_ms': '500',
+            'gone_ms': '1500',
+            'announce_ms': '200',
+            'endpoint_lease_ms': '1000',
+            'silent_factor': '2',
+            'silent_floor_ms': '400',
+        },
     },
-}
+)
 
 
 class Scene:
