Read the answer of a task that was asked for on a new connection

Cause: the decoder takes raw text only into fields without a default; each recovered answer counted as unreadable and the job waited for its deadline (process test of a silent endpoint). Change: the answer is decoded on its own; an unreadable reply counts as none. Result: the silent endpoint's job completes.

--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import aiohttp
 import msgspec
@@ -36,8 +36,6 @@
 #: Longest pause between two questions about one attempt, in seconds.
 _LONGEST_PAUSE_SECONDS: Final = 10.0
 
-_NO_ANSWER: Final = (aiohttp.ClientError, OSError, TimeoutError)
-
 _JSON_HEADERS: Final = MappingProxyType({'Content-Type': JSON_TYPE})
 
 
@@ -69,10 +67,22 @@
 
 @dataclass(frozen=True, slots=True)
 class StateBody:
-    """What an endpoint answers to a question about a task."""
+    """What an endpoint answers to a question about a task.
+
+    `state` is one of `running`, `answered`, `failed` and `absent`.
+    """
 
     state: str
-    answer: msgspec.Raw | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveredBody:
+    """The part of such an answer that only an answered task has.
+
+    The decoder reads raw text only into fields without a default.
+    """
+
+    answer: msgspec.Raw
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,11 +113,25 @@
     """A response on a reused connection belongs to an earlier request."""
 
 
+class BadStateReply(Exception):
+    """An endpoint's answer to a question about a task can't be read."""
+
+
+_NO_ANSWER: Final = (
+    aiohttp.ClientError,
+    BadStateReply,
+    OSError,
+    TimeoutError,
+)
+
+_Body = TypeVar('_Body')
+
 Finished = Callable[[SendStart, AttemptEnd], None]
 
 _answer_decoder = msgspec.json.Decoder(AnswerBody)
 _problem_decoder = msgspec.json.Decoder(ProblemBody)
 _state_decoder = msgspec.json.Decoder(StateBody)
+_recovered_decoder = msgspec.json.Decoder(RecoveredBody)
 
 
 class TaskSender:
@@ -282,19 +306,20 @@
 
         Raises:
             aiohttp.ClientError: There was no answer.
+            BadStateReply: There was none that can be read.
             TimeoutError: There was no answer in time.
         """
         assert self._questions is not None
         url = f'{record.url}/v1/tasks/{sent.task}'
         async with self._questions.get(url) as response:
             raw = await self._read(response)
-        state = _decode_state(raw)
-        if state is None or state.state == 'running':
+        state = _decode(_state_decoder, raw).state
+        if state == 'running':
             return None
-        if state.state == 'answered' and state.answer is not None:
-            answer = bytes(state.answer)
+        if state == 'answered':
+            answer = bytes(_decode(_recovered_decoder, raw).answer)
             return AttemptEnd(StartEnd.answered, answer, recovered=True)
-        if state.state == 'failed':
+        if state == 'failed':
             return AttemptEnd(StartEnd.failed, recovered=True)
         # Absent: the start may still be on its way on the silent connection.
         return AttemptEnd(StartEnd.unknown, recovered=True)
@@ -407,10 +432,11 @@
     return AttemptEnd(StartEnd.not_started)
 
 
-def _decode_state(raw: bytes | None) -> StateBody | None:
-    if raw is None:
-        return None
+def _decode(
+    decoder: msgspec.json.Decoder[_Body],
+    raw: bytes | None,
+) -> _Body:
     try:
-        return _state_decoder.decode(raw)
-    except msgspec.DecodeError:
-        return None
+        return decoder.decode(raw or b'')
+    except msgspec.DecodeError as error:
+        raise BadStateReply from error
