Recover answers from endpoints that fell silent

Cause: the state of a task was decoded to a dataclass whose field answer was 'Raw | None', which msgspec answers with 'Expected raw, got object'; so every answered state read as still running, and the job of a silent connection hung. Change: the answer is decoded by a type of its own, without a default.

--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -72,7 +72,16 @@
     """What an endpoint answers to a question about a task."""
 
     state: str
-    answer: msgspec.Raw | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveredBody:
+    """What it answers besides where the task has been answered.
+
+    Raw text can't be an optional field: msgspec then rejects any value.
+    """
+
+    answer: msgspec.Raw
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +117,7 @@
 _answer_decoder = msgspec.json.Decoder(AnswerBody)
 _problem_decoder = msgspec.json.Decoder(ProblemBody)
 _state_decoder = msgspec.json.Decoder(StateBody)
+_recovered_decoder = msgspec.json.Decoder(RecoveredBody)
 
 
 class TaskSender:
@@ -291,9 +301,8 @@
         state = _decode_state(raw)
         if state is None or state.state == 'running':
             return None
-        if state.state == 'answered' and state.answer is not None:
-            answer = bytes(state.answer)
-            return AttemptEnd(StartEnd.answered, answer, recovered=True)
+        if state.state == 'answered':
+            return _recover(raw or b'')
         if state.state == 'failed':
             return AttemptEnd(StartEnd.failed, recovered=True)
         # Absent: the start may still be on its way on the silent connection.
@@ -407,6 +416,14 @@
     return AttemptEnd(StartEnd.not_started)
 
 
+def _recover(raw: bytes) -> AttemptEnd:
+    try:
+        body = _recovered_decoder.decode(raw)
+    except msgspec.DecodeError:
+        return AttemptEnd(StartEnd.failed, recovered=True)
+    return AttemptEnd(StartEnd.answered, bytes(body.answer), recovered=True)
+
+
 def _decode_state(raw: bytes | None) -> StateBody | None:
     if raw is None:
         return None
