Have an endpoint forbid a start that has not arrived

Change: stopping a task that never came forbids it; the reply says so, and the attempt counts as provably not started, so it is tried again. The test of the stand-in's stop now also holds the refusal of the forbidden start.

--- a/bench/_stand_in.py
+++ b/bench/_stand_in.py
@@ -184,6 +184,13 @@
         run = self._runs.get(task)
         return run is not None and self.finish(run, TaskState.failed)
 
+    def forbid(self, task: str) -> bool:
+        """Never start a task that has not started; tell whether it hasn't."""
+        if task in self._runs:
+            return False
+        self._refused.setdefault(task, Refusal.stopped)
+        return True
+
     def finish(self, run: TaskRun, state: TaskState) -> bool:
         """End a run and free its slot; return whether this call ended it."""
         ended = run.finish(state)
--- a/bench/_tasks.py
+++ b/bench/_tasks.py
@@ -22,6 +22,7 @@
     expired = 'expired'
     mode = 'mode'
     refused_before = 'refused-before'
+    stopped = 'stopped'
 
 
 @dataclass(eq=False)
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -113,7 +113,8 @@
     async def _stop(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         stopped = [task for task in body['tasks'] if self.stand_in.stop(task)]
-        return json_response({'stopped': stopped})
+        never = [task for task in body['tasks'] if self.stand_in.forbid(task)]
+        return json_response({'stopped': stopped, 'never_started': never})
 
     async def _starts(self, request: web.Request) -> web.Response:
         return json_response(self.stand_in.start_log)
--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from types import MappingProxyType
@@ -92,6 +93,19 @@
     tasks: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StoppedBody:
+    """What an endpoint answers to that.
+
+    Args:
+        stopped: Tasks that ran, and were stopped.
+        never_started: Tasks that did not start, and never will.
+    """
+
+    stopped: tuple[str, ...] = ()
+    never_started: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
     """How an attempt ended.
@@ -131,6 +145,7 @@
 _answer_decoder = msgspec.json.Decoder(AnswerBody)
 _problem_decoder = msgspec.json.Decoder(ProblemBody)
 _state_decoder = msgspec.json.Decoder(StateBody)
+_stopped_decoder = msgspec.json.Decoder(StoppedBody)
 _recovered_decoder = msgspec.json.Decoder(RecoveredBody)
 
 
@@ -321,26 +336,44 @@
             return AttemptEnd(StartEnd.answered, answer, recovered=True)
         if state == 'failed':
             return AttemptEnd(StartEnd.failed, recovered=True)
-        # Absent: the start may still be on its way on the silent connection.
-        return AttemptEnd(StartEnd.unknown, recovered=True)
+        return await self._forbid(sent, record)
+
+    async def _forbid(
+        self,
+        sent: SendStart,
+        record: EndpointRecord,
+    ) -> AttemptEnd | None:
+        """Have an absent attempt never start, however late it arrives.
+
+        The start may still be on its way on the silent connection.
+        """
+        reply = await self._delete(record, (sent.task,))
+        if str(sent.task) in reply.never_started:
+            return AttemptEnd(StartEnd.not_started, recovered=True)
+        return None
 
     async def _stop(
         self,
         record: EndpointRecord,
         tasks: tuple[TaskId, ...],
     ) -> None:
+        # Stopping only saves work; the job has ended already.
+        with suppress(*_NO_ANSWER):
+            await self._delete(record, tasks)
+
+    async def _delete(
+        self,
+        record: EndpointRecord,
+        tasks: tuple[TaskId, ...],
+    ) -> StoppedBody:
         assert self._questions is not None
         body = StopBody(tuple(map(str, tasks)))
-        try:
-            async with self._questions.delete(
-                f'{record.url}/v1/tasks',
-                data=msgspec.json.encode(body),
-                headers=_JSON_HEADERS,
-            ) as response:
-                await response.read()
-        except _NO_ANSWER:
-            # Stopping only saves work; the job has ended already.
-            return
+        async with self._questions.delete(
+            f'{record.url}/v1/tasks',
+            data=msgspec.json.encode(body),
+            headers=_JSON_HEADERS,
+        ) as response:
+            return _decode(_stopped_decoder, await self._read(response))
 
 
 class _Watch:
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -142,8 +142,12 @@
             ) as response:
                 stopped = await response.json()
             status, _ = await first
-        assert stopped == {'stopped': ['m~k~0~1']}
-        assert status == 500
+            refused, _ = await site.start('m~k~9~1')
+        assert stopped == {
+            'stopped': ['m~k~0~1'],
+            'never_started': ['m~k~9~1'],
+        }
+        assert (status, refused) == (500, 503)
 
 
 class TestModes:
