--- a/src/cuminstack/claims/_messages.py
+++ b/src/cuminstack/claims/_messages.py
@@ -91,6 +91,14 @@
     page: int
 
 
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """An incarnation that a replica knows another to have reached."""
+
+    instance: InstanceId
+    incarnation: int
+
+
 @wire.message('claims.handover')
 @dataclass(frozen=True, slots=True)
 class Handover:
@@ -105,6 +113,7 @@
         last: Whether it is the last one.
         whole: Whether the sender votes on every job.
         caught_up: Else the instances that it caught up with.
+        fences: The restarts that the sender knows of, its own included.
         entries: The claims.
     """
 
@@ -116,6 +125,7 @@
     last: bool
     whole: bool
     caught_up: tuple[InstanceId, ...]
+    fences: tuple[Fence, ...]
     entries: tuple[Entry, ...]
 
 
--- a/src/cuminstack/claims/_replica.py
+++ b/src/cuminstack/claims/_replica.py
@@ -8,6 +8,7 @@
 from cuminstack.claims._catchup import CatchUp
 from cuminstack.claims._messages import (
     Answer,
+    Fence,
     Handover,
     Outcomes,
     Prepare,
@@ -183,6 +184,10 @@
             last=end >= len(snapshot.jobs),
             whole=snapshot.whole,
             caught_up=snapshot.caught_up,
+            fences=tuple(
+                Fence(name, incarnation)
+                for name, incarnation in sorted(self._fences.items())
+            ),
             entries=self._store.entries(snapshot.jobs[begin:end], now=now),
         )
         return (Send(sender, page),)
@@ -196,6 +201,9 @@
     ) -> tuple[Send, ...]:
         if not self._catch_up.expects(sender, page):
             return ()
+        for fence in page.fences:
+            known = self._fences.get(fence.instance, 0)
+            self._fences[fence.instance] = max(known, fence.incarnation)
         for entry in page.entries:
             self._store.adopt(entry, now=now)
         return self._catch_up.take(sender, page, now=now)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -305,6 +305,25 @@
         deployment.check_once()
         assert deployment.claimed == [(late, make_job('j'))]
 
+    def test_knowledge_of_restarts_outlives_restarts(self) -> None:
+        deployment = ClaimDeployment(NINE)
+        first, second, third = replicas(make_job('j'), NINE.instances)
+        early, late = sorted(set(deployment.parts) - {first, second, third})[:2]
+        deployment.network.cut(early, f'{second} {third}')
+        deployment.claim(early, 'j')
+        deployment.run(0.01)
+        for name in (first, second):
+            deployment.kill(name)
+            deployment.start(name, NINE)
+            deployment.run(0.2)
+        deployment.network.heal()
+        deployment.network.cut(early, f'{first} {third}')
+        deployment.network.cut(late, second)
+        deployment.claim(late, 'j')
+        deployment.run(3)
+        deployment.check_once()
+        assert deployment.claimed == [(late, make_job('j'))]
+
     def test_many_claims_are_handed_over_in_pages(
         self,
         three: ClaimDeployment,
--- /dev/null
+++ b/tests/test_claims_fuzz.py
@@ -0,0 +1,122 @@
+"""Claims under arbitrary delays, losses, cuts and restarts."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cuminstack.claims import AlreadyClaimed, Claimed, ClaimView, NoMajority
+from cuminstack.core import JobId
+from fakes_claims import ClaimDeployment, make_job
+from fakes_network import make_instances
+
+VIEW = ClaimView(1, make_instances(3, 2))
+NAMES = tuple(str(instance.instance) for instance in VIEW.instances)
+KEYS = ('j1', 'j2', 'j3', 'j4')
+
+names = st.sampled_from(NAMES)
+keys = st.sampled_from(KEYS)
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Does anything to a deployment and checks what it was told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.deployment = ClaimDeployment(VIEW, seed=1)
+        self.asked: dict[tuple[str, JobId], bytes] = {}
+        self.holders: dict[JobId, tuple[str, int]] = {}
+        self.checked = 0
+
+    @rule(name=names, key=keys, digest=st.sampled_from([b'1', b'2']))
+    def claim(self, name: str, key: str, digest: bytes) -> None:
+        job = make_job(key)
+        running = self.asked.setdefault((name, job), digest)
+        told = len(self.deployment.told)
+        self.deployment.claim(name, key, digest)
+        if running != digest:
+            assert self.deployment.told.pop(told) == (name, NoMajority(job, ()))
+
+    @rule(racers=st.lists(names, min_size=2, max_size=3), key=keys)
+    def race(self, racers: list[str], key: str) -> None:
+        for name in racers:
+            self.claim(name, key, b'1')
+
+    @rule(claimant=names, key=keys, reached=names)
+    def claim_at_one_replica(
+        self,
+        claimant: str,
+        key: str,
+        reached: str,
+    ) -> None:
+        network = self.deployment.network
+        before = set(network.cuts)
+        network.cut(claimant, ' '.join(set(NAMES) - {reached}))
+        self.claim(claimant, key, b'1')
+        network.cuts = before
+
+    @rule(name=names, key=keys)
+    def finish(self, name: str, key: str) -> None:
+        self.deployment.finish(name, key)
+
+    @rule(milliseconds=st.sampled_from([1, 3, 10, 100, 1100]))
+    def wait(self, milliseconds: int) -> None:
+        step = 0.001 if milliseconds < 10 else 0.02
+        self.deployment.run(milliseconds / 1000, step=step)
+
+    @rule(name=names)
+    def restart(self, name: str) -> None:
+        self.deployment.kill(name)
+        self.deployment.start(name, VIEW)
+        for asked in tuple(self.asked):
+            if asked[0] == name:
+                self.asked.pop(asked)
+
+    @rule(sender=names, to=names)
+    def cut(self, sender: str, to: str) -> None:
+        self.deployment.network.cut(sender, to)
+
+    @rule()
+    def heal(self) -> None:
+        self.deployment.network.heal()
+
+    @rule(
+        jitter=st.sampled_from([0, 0.01, 0.5]),
+        loss=st.sampled_from([0, 0.2]),
+        copies=st.sampled_from([0, 0.3]),
+    )
+    def weather(self, jitter: float, loss: float, copies: float) -> None:
+        network = self.deployment.network
+        network.jitter = jitter
+        network.loss = loss
+        network.copies = copies
+
+    @invariant()
+    def granted_once_and_only_when_asked(self) -> None:
+        self.deployment.check_once()
+        for name, effect in self.deployment.told[self.checked :]:
+            self.take(name, effect)
+        self.checked = len(self.deployment.told)
+
+    def take(self, name: str, effect: Any) -> None:
+        self.asked.pop((name, effect.job))
+        if isinstance(effect, Claimed):
+            incarnation = self.deployment.incarnations[name]
+            self.agree(effect.job, (name, incarnation))
+        if isinstance(effect, AlreadyClaimed):
+            self.agree(effect.job, (effect.holder, effect.incarnation))
+
+    def agree(self, job: JobId, holder: tuple[str, int]) -> None:
+        assert self.holders.setdefault(job, holder) == holder
+
+
+class TestClaimsFuzz(ClaimsMachine.TestCase):
+    """Runs the machine; the examples are the same each time."""
+
+    settings = settings(
+        max_examples=60,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+    )
