Admit, measure and spare: admission, run times and endpoint health in the node

Cause: the queues were unbounded, declared run times were trusted, and an endpoint that failed all it started went on getting work. Change: the gate asks admission (claims, queue bounds, deadlines, load shed by lag); ends of attempts teach run times and endpoint health, whose bounds reach the policy; heartbeats carry free slots as hints; leases are handed over at shutdown.

--- a/src/cuminstack/daemon/_assembly.py
+++ b/src/cuminstack/daemon/_assembly.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from cuminstack.admission import Admission
 from cuminstack.claims import Claims, ClaimView, Limits, Patience
 from cuminstack.core import Instance, InstanceId
 from cuminstack.membership import Timing
@@ -96,6 +97,7 @@
         register=_make_register(settings, own, replicas, store),
         spread=Spread(own.instance, own.zone, replicas),
         claims=_make_claims(settings, own, peers, now=now),
+        admission=Admission(chance=random.Random(_own_seed(settings))),
     )
     return Node(own, parts=parts, options=_make_options(settings))
 
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -160,9 +160,8 @@
         """Take the end of an attempt."""
         self._observer.finished(sent, ended, now=self.now)
         effects = self._node.finish(
-            sent.task,
+            sent,
             ended.end,
-            sent=sent,
             answer=ended.answer,
             now=self.now,
         )
@@ -185,6 +184,7 @@
             due = max(due + self._tick_seconds, self.now)
             await asyncio.sleep(due - self.now)
             self._lag = max(self.now - due, 0)
+            self._node.observe_lag(self._lag)
             self.perform(self._node.tick(now=self.now))
             if not self._node.busy:
                 self._idle.set()
--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -104,7 +104,6 @@
         task: TaskId,
         endpoint: EndpointId,
         *,
-        expected: float,
         now: float,
     ) -> JobEffects:
         """Start an attempt in the slot that the policy found for it.
@@ -125,7 +124,7 @@
             service=job.request.service,
             payload=job.request.tasks[task.index].payload,
             start_within=min(left, _START_WITHIN_SECONDS),
-            expected=expected,
+            expected=job.request.tasks[task.index].expected,
         )
         return (start,)
 
--- a/src/cuminstack/jobs/_types.py
+++ b/src/cuminstack/jobs/_types.py
@@ -64,6 +64,8 @@
     unknown_service = 'unknown-service'
     never_runnable = 'never-runnable'
     over_claim = 'over-claim'
+    no_endpoint = 'no-endpoint'
+    retry_budget_spent = 'retry-budget-spent'
     queue_full = 'queue-full'
     deadline_unreachable = 'deadline-unreachable'
     overloaded = 'overloaded'
--- a/src/cuminstack/node/_dispatch.py
+++ b/src/cuminstack/node/_dispatch.py
@@ -1,40 +1,54 @@
 """Between the jobs accepted here and the dispatch policy."""
 
+from dataclasses import replace
+
 from cuminstack import wire
-from cuminstack.core import EndpointId, InstanceId, StartTask, TaskId
+from cuminstack.core import InstanceId, StartTask
 from cuminstack.endpoints import EndpointChanged, EndpointGone
 from cuminstack.jobs import (
     FreeSlot,
     JobBook,
+    JobEffect,
     Queue,
+    SendStart,
     StartEnd,
     Withdraw,
 )
+from cuminstack.node._health import HealthDesk
 from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.slots import Policy
 
-#: Run time after which an attempt without any estimate is asked after.
-_FIRST_EXPECTED_SECONDS = 2.0
-
 
 class DispatchDesk:
     """Starts queued tasks where the policy says, and frees their slots."""
 
-    def __init__(self, book: JobBook, policy: Policy) -> None:
+    def __init__(
+        self,
+        book: JobBook,
+        policy: Policy,
+        health: HealthDesk,
+    ) -> None:
         self._book = book
+        self._health = health
         self._policy = policy
 
     def finish(
         self,
-        task: TaskId,
-        endpoint: EndpointId,
+        sent: SendStart,
         end: StartEnd,
         *,
         answer: bytes = b'',
         now: float,
     ) -> Effects:
         """Take the end of an attempt."""
-        return self._book.finish(task, endpoint, end, answer=answer, now=now)
+        self._health.ended(sent, end, now=now)
+        return self._book.finish(
+            sent.task,
+            sent.endpoint,
+            end,
+            answer=answer,
+            now=now,
+        )
 
     def tick(self, *, now: float) -> Effects:
         """End late jobs, and let the policy do what is due."""
@@ -61,12 +75,16 @@
 
     @on_effect(StartTask)
     def _start(self, effect: StartTask, *, now: float) -> Effects:
-        return self._book.start(
-            effect.task,
-            effect.endpoint,
-            expected=_FIRST_EXPECTED_SECONDS,
-            now=now,
-        )
+        effects = self._book.start(effect.task, effect.endpoint, now=now)
+        return tuple(self._note(each, now=now) for each in effects)
+
+    def _note(self, effect: JobEffect, *, now: float) -> JobEffect:
+        """Take note of a start, and fill in how long it is expected to run."""
+        if not isinstance(effect, SendStart):
+            return effect
+        self._health.started(effect, now=now)
+        expected = self._health.expected(effect.service, effect.expected)
+        return replace(effect, expected=expected)
 
     @on_effect(FreeSlot)
     def _free(self, effect: FreeSlot, *, now: float) -> Effects:
@@ -84,8 +102,10 @@
         *,
         now: float,
     ) -> Effects:
+        self._health.observe(effect)
         return self._policy.observe_endpoint(effect.record, now=now)
 
     @on_effect(EndpointGone)
     def _endpoint_gone(self, effect: EndpointGone, *, now: float) -> Effects:
+        self._health.forget(effect)
         return self._policy.forget_endpoint(effect.endpoint, now=now)
--- a/src/cuminstack/node/_gate.py
+++ b/src/cuminstack/node/_gate.py
@@ -1,12 +1,27 @@
 """Whether a submission may be taken on, before any claim is taken."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 from typing import Final, Protocol
 
-from cuminstack.endpoints import Directory
+from cuminstack.admission import (
+    Admission,
+    AdmissionRequest,
+    DeadlineTooSoon,
+    NoEndpoint,
+    OverClaim,
+    Overloaded,
+    QueueFull,
+    Refuse,
+    RetryBudgetSpent,
+    UnknownMember,
+    Unrunnable,
+)
+from cuminstack.core import JobId
 from cuminstack.jobs import (
+    Complete,
     JobBook,
+    JobEnded,
     JobRequest,
     RefusalReason,
     Refused,
@@ -14,12 +29,26 @@
 )
 from cuminstack.membership import Timing
 from cuminstack.node._sheets import SheetDesk
-from cuminstack.sheet import Claim, Service
-from cuminstack.spread import Freshness
+from cuminstack.sheet import Service
 
 #: Seconds after which a retry at a busy or just started instance can help.
 _RETRY_AFTER_SECONDS: Final = 1.0
 
+_MILLISECONDS: Final = 1000
+
+_REASONS: Final = MappingProxyType(
+    {
+        DeadlineTooSoon: RefusalReason.deadline_unreachable,
+        NoEndpoint: RefusalReason.no_endpoint,
+        OverClaim: RefusalReason.over_claim,
+        Overloaded: RefusalReason.overloaded,
+        QueueFull: RefusalReason.queue_full,
+        RetryBudgetSpent: RefusalReason.retry_budget_spent,
+        UnknownMember: RefusalReason.unknown_member,
+        Unrunnable: RefusalReason.never_runnable,
+    },
+)
+
 
 @dataclass(frozen=True, slots=True)
 class NodeOptions:
@@ -49,15 +78,8 @@
     def complete(self, request: JobRequest) -> JobRequest:
         """Fill in what the submission left to the sheet."""
 
-
-Check = Callable[['SheetGate', JobRequest, float], Refused | None]
-_checks: list[Check] = []
-
-
-def _check(function: Check) -> Check:
-    """Register a check; they run in the order of their registration."""
-    _checks.append(function)
-    return function
+    def release(self, ended: JobEnded, *, now: float) -> None:
+        """Take the end of a job that was let through."""
 
 
 class SheetGate:
@@ -66,7 +88,7 @@
     Args:
         sheets: The sheet in force.
         book: The jobs in progress here.
-        directory: The endpoints of the deployment.
+        admission: Decides by needs, queues, deadlines and load.
         options: Limits.
     """
 
@@ -74,93 +96,92 @@
         self,
         sheets: SheetDesk,
         book: JobBook,
-        directory: Directory,
+        admission: Admission,
         options: NodeOptions,
     ) -> None:
-        self.sheets = sheets
-        self.book = book
-        self.directory = directory
-        self.options = options
+        self._sheets = sheets
+        self._book = book
+        self._admission = admission
+        self._options = options
+        self._admitted: dict[JobId, JobRequest] = {}
 
     def check(self, request: JobRequest, *, now: float) -> Refused | None:
         """Give the refusal of a submission, or none if it may run."""
-        for check in _checks:
-            refused = check(self, request, now)
-            if refused is not None:
-                return refused
+        refused = self._check_sheet(request, now=now)
+        if refused is not None:
+            return refused
+        if self._book.running >= self._options.max_running_jobs:
+            return Refused(RefusalReason.overloaded, _RETRY_AFTER_SECONDS)
+        verdict = self._admission.admit(_ask(request), now=now)
+        if isinstance(verdict, Refuse):
+            return _refused(verdict)
+        self._admitted[request.job] = request
         return None
 
     def complete(self, request: JobRequest) -> JobRequest:
         """Fill in what the submission left to the sheet."""
-        service = self.sheets.sheet.service(request.service)
+        service = self._sheets.sheet.service(request.service)
+        if service is None:
+            return request
+        expected = service.expected_ms / _MILLISECONDS
         return replace(
             request,
             within=request.within or self._within(service),
+            tasks=tuple(_expecting(task, expected) for task in request.tasks),
+        )
+
+    def release(self, ended: JobEnded, *, now: float) -> None:
+        """Take the end of a job that was let through."""
+        request = self._admitted.pop(ended.job, None)
+        if request is None:
+            return
+        self._admission.settled(
+            request.service,
+            len(request.tasks),
+            succeeded=isinstance(ended.outcome, Complete),
+            now=now,
         )
 
-    def _within(self, service: Service | None) -> float:
-        if service is None or not service.deadline_ms:
-            return self.options.default_within
+    def _check_sheet(
+        self,
+        request: JobRequest,
+        *,
+        now: float,
+    ) -> Refused | None:
+        sheet = self._sheets.sheet
+        if not sheet.version or not self._sheets.is_known(now=now):
+            reason = RefusalReason.no_configuration
+            return Refused(reason, _RETRY_AFTER_SECONDS)
+        if sheet.member(request.job.member) is None:
+            return Refused(RefusalReason.unknown_member)
+        if sheet.service(request.service) is None:
+            return Refused(RefusalReason.unknown_service)
+        return None
+
+    def _within(self, service: Service) -> float:
+        if not service.deadline_ms:
+            return self._options.default_within
         return service.deadline_ms / _MILLISECONDS
 
 
-_MILLISECONDS: Final = 1000
+def _ask(request: JobRequest) -> AdmissionRequest:
+    needs = dict.fromkeys(task.needs for task in request.tasks)
+    return AdmissionRequest(
+        service=request.service,
+        tasks=len(request.tasks),
+        needs=tuple(needs),
+        expected=max(task.expected for task in request.tasks),
+        deadline=request.within,
+    )
 
 
-@_check
-def _configured(
-    gate: SheetGate,
-    request: JobRequest,
-    now: float,
-) -> Refused | None:
-    is_asking = gate.sheets.freshness(now=now) is Freshness.asking
-    if not is_asking and gate.sheets.sheet.version:
-        return None
-    return Refused(RefusalReason.no_configuration, _RETRY_AFTER_SECONDS)
-
-
-@_check
-def _known_member(
-    gate: SheetGate,
-    request: JobRequest,
-    now: float,
-) -> Refused | None:
-    if gate.sheets.sheet.member(request.job.member) is None:
-        return Refused(RefusalReason.unknown_member)
-    if gate.sheets.sheet.service(request.service) is None:
-        return Refused(RefusalReason.unknown_service)
-    return None
-
-
-@_check
-def _within_claim(
-    gate: SheetGate,
-    request: JobRequest,
-    now: float,
-) -> Refused | None:
-    claim = gate.sheets.sheet.claim(request.service)
-    if claim is None:
-        return None
-    for index, task in enumerate(request.tasks):
-        if _exceeds(task, claim):
-            return Refused(RefusalReason.over_claim, detail=f'task {index}')
-    return None
-
-
-@_check
-def _not_overloaded(
-    gate: SheetGate,
-    request: JobRequest,
-    now: float,
-) -> Refused | None:
-    if gate.book.running < gate.options.max_running_jobs:
-        return None
-    return Refused(RefusalReason.overloaded, _RETRY_AFTER_SECONDS)
+def _expecting(task: TaskSpec, expected: float) -> TaskSpec:
+    return task if task.expected else replace(task, expected=expected)
 
 
-def _exceeds(task: TaskSpec, claim: Claim) -> bool:
-    return (
-        task.needs.processors > claim.max_processors
-        or task.needs.memory_mb > claim.max_memory_mb
-        or task.needs.accelerators > claim.max_accelerators
+def _refused(verdict: Refuse) -> Refused:
+    return Refused(
+        _REASONS[type(verdict.reason)],
+        verdict.retry_after or 0,
+        detail=str(verdict.reason),
     )
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -127,10 +127,10 @@
         known = self._known(request)
         if known is not None:
             return known
+        request = self._gate.complete(request)
         refusal = self._refusal(request, now=now)
         if refusal is not None:
             return refusal, ()
-        request = self._gate.complete(request)
         if request.minted:
             return None, self._book.open(request, now=now)
         self._claiming[request.job] = request
@@ -288,8 +288,9 @@
             return (Send(sender, JobRunning(message.job)),)
         return (Send(sender, JobUnknown(message.job)),)
 
-    def tell_peers(self, ended: JobEnded) -> Effects:
-        """Send an outcome to the instances that forwarded the job here."""
+    def settle(self, ended: JobEnded, *, now: float) -> Effects:
+        """Take the end of a job; tell the instances that forwarded it."""
+        self._gate.release(ended, now=now)
         peers = self._waiting_peers.pop(ended.job, set())
         message = JobOutcome.of(ended.job, ended.outcome)
         return tuple(Send(peer, message) for peer in sorted(peers))
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from cuminstack.admission import Admission
 from cuminstack.claims import Claims
 from cuminstack.core import (
     EndpointRecord,
@@ -15,15 +16,13 @@
     InstanceId,
     JobId,
     Send,
-    TaskId,
 )
 from cuminstack.endpoints import Directory
+from cuminstack.health import EndpointHealth
 from cuminstack.jobs import (
-    Job,
     JobBook,
     JobEnded,
     JobRequest,
-    KeptOutcome,
     Outcome,
     OutcomeStore,
     SendStart,
@@ -35,6 +34,7 @@
 from cuminstack.node._dispatch import DispatchDesk
 from cuminstack.node._endpoints import AnnounceReply, EndpointDesk
 from cuminstack.node._gate import NodeOptions, SheetGate
+from cuminstack.node._health import HealthDesk
 from cuminstack.node._intake import IntakeDesk
 from cuminstack.node._peers import PeerDesk, RoutableChanged
 from cuminstack.node._routing import Effects, Router
@@ -71,6 +71,7 @@
         register: The quorum register.
         spread: Brings the sheet in force to every instance.
         claims: The claimant and the claim replica.
+        admission: Decides what is let in.
     """
 
     peers: Sequence[Instance]
@@ -78,6 +79,7 @@
     register: Register
     spread: Spread
     claims: Claims
+    admission: Admission
 
 
 class Node:
@@ -102,11 +104,19 @@
         )
         self._own = own
         self._options = options
+        self._policy = parts.policy
         self._book = JobBook(outcomes)
         self._directory = Directory()
         self._membership = Membership(own, parts.peers, timing=options.timing)
-        self._dispatch = DispatchDesk(self._book, parts.policy)
-        self._sheets = SheetDesk(parts.register, parts.spread, parts.policy)
+        self._admission = parts.admission
+        self._health = HealthDesk(parts.policy, self._admission)
+        self._dispatch = DispatchDesk(self._book, parts.policy, self._health)
+        self._sheets = SheetDesk(
+            parts.register,
+            parts.spread,
+            parts.policy,
+            parts.admission,
+        )
         self._intake = self._make_intake()
         self._endpoints = EndpointDesk(
             own,
@@ -125,6 +135,7 @@
             self._claims,
             self._dispatch,
             self._endpoints,
+            self._health,
             self._intake,
             self._peers,
             self._sheets,
@@ -155,6 +166,11 @@
         """The sheet in force."""
         return self._sheets
 
+    @property
+    def health(self) -> EndpointHealth:
+        """Which endpoints are quarantined."""
+        return self._health.health
+
     @property
     def book(self) -> JobBook:
         """The jobs that were accepted here; for queries only."""
@@ -170,14 +186,6 @@
         """Jobs that callers still wait for."""
         return self._intake.busy
 
-    def running(self, job: JobId) -> Job | None:
-        """Give a job in progress here."""
-        return self._book.find(job)
-
-    def ended(self, job: JobId) -> KeptOutcome | None:
-        """Give the outcome of a job that ended here."""
-        return self._book.ended(job)
-
     def knows(self, job: JobId) -> bool:
         """Tell whether a job is in progress here, or was forwarded."""
         return self._intake.knows(job)
@@ -189,7 +197,11 @@
     def drain(self, *, now: float) -> Effects:
         """Refuse new jobs from now on, and hand over what is owned."""
         self._intake.stop_accepting()
-        return self._settle(self._membership.leave(now=now), now=now)
+        effects = (
+            *self._membership.leave(now=now),
+            *self._policy.leaving(now=now),
+        )
+        return self._settle(effects, now=now)
 
     def submit(
         self,
@@ -211,21 +223,14 @@
 
     def finish(
         self,
-        task: TaskId,
+        sent: SendStart,
         end: StartEnd,
         *,
-        sent: SendStart,
         answer: bytes = b'',
         now: float,
     ) -> Effects:
         """Take the end of an attempt that was sent."""
-        effects = self._dispatch.finish(
-            task,
-            sent.endpoint,
-            end,
-            answer=answer,
-            now=now,
-        )
+        effects = self._dispatch.finish(sent, end, answer=answer, now=now)
         return self._settle(effects, now=now)
 
     def announce(
@@ -248,6 +253,10 @@
         effects = self._sheets.persisted(sequence, saved=saved, now=now)
         return self._settle(effects, now=now)
 
+    def observe_lag(self, seconds: float) -> None:
+        """Take how late the last tick was; load is shed by it."""
+        self._admission.observe_lag(seconds)
+
     def link_lost(self, peer: InstanceId, *, now: float) -> Effects:
         """Take the hint that a peer can't be reached."""
         effects = self._membership.link_lost(peer, now=now)
@@ -266,7 +275,7 @@
             UnroutedMessage: No part handles messages of this type.
         """
         outward = self._router.receive(sender, message, now=now)
-        return self._with_peers(outward)
+        return self._with_peers(outward, now=now)
 
     def tick(self, *, now: float) -> Effects:
         """Do what is due."""
@@ -276,6 +285,7 @@
             *self._claims.tick(now=now),
             *self._endpoints.tick(now=now),
             *self._intake.tick(now=now),
+            *self._health.tick(now=now),
             *self._dispatch.tick(now=now),
         )
         return self._settle(effects, now=now)
@@ -284,7 +294,7 @@
         gate = SheetGate(
             self._sheets,
             self._book,
-            self._directory,
+            self._admission,
             self._options,
         )
         return IntakeDesk(self._own, self._book, gate)
@@ -301,12 +311,13 @@
         )
 
     def _settle(self, effects: Effects, *, now: float) -> Effects:
-        return self._with_peers(self._router.settle(effects, now=now))
+        outward = self._router.settle(effects, now=now)
+        return self._with_peers(outward, now=now)
 
-    def _with_peers(self, outward: Effects) -> Effects:
+    def _with_peers(self, outward: Effects, *, now: float) -> Effects:
         """Add the messages to peers that wait for a job that ended."""
         told: list[Any] = []
         for effect in outward:
             if isinstance(effect, JobEnded):
-                told.extend(self._intake.tell_peers(effect))
+                told.extend(self._intake.settle(effect, now=now))
         return (*outward, *told) if told else outward
--- a/src/cuminstack/node/_peers.py
+++ b/src/cuminstack/node/_peers.py
@@ -92,6 +92,7 @@
             version=sheet.version,
             digest=sheet.digest,
             stamp=self._endpoints.version,
+            free=self._policy.free_slots,
         )
         self._membership.advertise(summary)
         effects: Effects = self._membership.tick(now=now)
@@ -113,6 +114,11 @@
     @on_effect(PeerSummary)
     def _peer_summary(self, effect: PeerSummary, *, now: float) -> Effects:
         self._advertised[effect.sender] = effect.summary.stamp
+        self._policy.observe_hint(
+            effect.sender,
+            effect.summary.free,
+            now=now,
+        )
         return (
             *self._compare(effect.sender, now=now),
             *self._sheets.observe_peer(
--- a/src/cuminstack/node/_sheets.py
+++ b/src/cuminstack/node/_sheets.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from cuminstack.core import Instance, InstanceId
+from cuminstack.admission import Admission, MemberBound
+from cuminstack.core import Instance, InstanceId, Needs
 from cuminstack.membership import Summary as PeerState
 from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.register import (
@@ -60,6 +61,7 @@
         register: The quorum register.
         spread: Brings the sheet in force to every instance.
         policy: The dispatch policy, told the members' terms.
+        admission: Told the members' bounds and claims.
     """
 
     def __init__(
@@ -67,7 +69,9 @@
         register: Register,
         spread: Spread,
         policy: Policy,
+        admission: Admission,
     ) -> None:
+        self._admission = admission
         self._register = register
         self._spread = spread
         self._policy = policy
@@ -163,6 +167,20 @@
             str(member.name): MemberTerms(member.share, member.max_slots)
             for member in effect.sheet.members
         }
+        self._admission.apply_sheet(
+            {
+                str(member.name): MemberBound(member.max_queued)
+                for member in effect.sheet.members
+            },
+            {
+                claim.ref: Needs(
+                    claim.max_processors,
+                    claim.max_memory_mb,
+                    claim.max_accelerators,
+                )
+                for claim in effect.sheet.claims
+            },
+        )
         applied = SheetApplied(effect.sheet)
         return (*self._policy.apply_terms(terms, now=now), applied)
 
--- a/src/cuminstack/slots/_base.py
+++ b/src/cuminstack/slots/_base.py
@@ -36,6 +36,7 @@
         self._running: dict[EndpointId, set[TaskId]] = {}
         self._held: dict[str, int] = {}
         self._cooling: dict[EndpointId, float] = {}
+        self._limits: dict[EndpointId, int] = {}
 
     def observe_instances(
         self,
@@ -126,6 +127,38 @@
         """Take a message of the policy of another instance."""
         return ()
 
+    @property
+    def free_slots(self) -> int:
+        """None that others could be told of: nothing is leased."""
+        return 0
+
+    def observe_hint(
+        self,
+        instance: InstanceId,
+        free_slots: int,
+        *,
+        now: float,
+    ) -> None:
+        """Ignore hints, as nothing is borrowed."""
+
+    def leaving(self, *, now: float) -> Effects:
+        """Hand nothing over, as nothing is leased."""
+        return ()
+
+    def limit_endpoint(
+        self,
+        endpoint: EndpointId,
+        limit: int | None,
+        *,
+        now: float,
+    ) -> Effects:
+        """Bound the tasks that are run at an endpoint; none lifts it."""
+        if limit is None:
+            self._limits.pop(endpoint, None)
+        else:
+            self._limits[endpoint] = limit
+        return self._dispatch(now)
+
     def tick(self, *, now: float) -> Effects:
         """Do what is due."""
         return self._dispatch(now)
@@ -178,9 +211,10 @@
         return self._choose(fitting, now) if fitting else None
 
     def _is_open(self, record: EndpointRecord, now: float) -> bool:
-        return self._cooling.get(record.endpoint, now) <= now and self._load(
-            record
-        ) < self._limit(record)
+        if self._cooling.get(record.endpoint, now) > now:
+            return False
+        bound = self._limits.get(record.endpoint, record.slots)
+        return self._load(record) < min(bound, self._limit(record))
 
     def _load(self, record: EndpointRecord) -> int:
         return len(self._running.get(record.endpoint, ()))
--- a/src/cuminstack/slots/_policy.py
+++ b/src/cuminstack/slots/_policy.py
@@ -131,6 +131,31 @@
     ) -> Effects:
         """Take a message of the policy of another instance."""
 
+    def limit_endpoint(
+        self,
+        endpoint: EndpointId,
+        limit: int | None,
+        *,
+        now: float,
+    ) -> Effects:
+        """Bound the tasks that are run at an endpoint; none lifts it."""
+
+    def observe_hint(
+        self,
+        instance: InstanceId,
+        free_slots: int,
+        *,
+        now: float,
+    ) -> None:
+        """Take the count of free slots that a heartbeat carried."""
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots that this instance can tell of, for heartbeats."""
+
+    def leaving(self, *, now: float) -> Effects:
+        """Hand over what is held here, as this instance shuts down."""
+
     def tick(self, *, now: float) -> Effects:
         """Do what is due; called at least every 50 ms."""
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -68,7 +68,6 @@
         effects = self.book.start(
             task(index, attempt),
             ENDPOINT,
-            expected=1,
             now=self.now,
         )
         self.effects.extend(effects)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cuminstack import wire
+from cuminstack.admission import Admission
 from cuminstack.claims import Claims, ClaimView
 from cuminstack.core import Instance, InstanceId, ZoneName
 from cuminstack.membership import Timing
@@ -49,6 +50,7 @@
         register=register,
         spread=Spread(own.instance, own.zone, replicas),
         claims=Claims(own, ClaimView(1, (own,)), now=0),
+        admission=Admission(chance=random.Random(1)),
     )
     options = NodeOptions(
         endpoint_lease=5,
