--- a/src/cuminstack/register/_acceptor.py
+++ b/src/cuminstack/register/_acceptor.py
@@ -129,8 +129,6 @@
 
     def _accept(self, sender: InstanceId, request: Accept) -> Effects:
         refusal = self._refusal(request)
-        if refusal is None and request.life != self.state.life:
-            refusal = Refusal.other_life
         if refusal is not None:
             return self._refuse(sender, request, refusal)
         if request.ballot > self.state.accepted:
--- a/src/cuminstack/register/_attempt.py
+++ b/src/cuminstack/register/_attempt.py
@@ -38,11 +38,7 @@
 
 
 class Attempt:
-    """One ballot of a proposer.
-
-    Only replicas that promised are asked to accept, each in the life in
-    which it did: a replica that lost its memory since takes no part.
-    """
+    """One ballot of a proposer."""
 
     def __init__(
         self,
@@ -190,7 +186,6 @@
         base = self._current if fits else EMPTY_VALUE
         request = Accept(
             ballot=self.ballot,
-            life=promise.life,
             replica_set=self._set_stamp,
             transfer=make_transfer(base, resolution.value),
         )
--- a/src/cuminstack/register/_messages.py
+++ b/src/cuminstack/register/_messages.py
@@ -31,7 +31,6 @@
 
     promised = 'promised'
     not_voting = 'not_voting'
-    other_life = 'other_life'
     other_set = 'other_set'
     unknown_base = 'unknown_base'
 
@@ -102,10 +101,9 @@
 @message('register.accept')
 @dataclass(frozen=True, slots=True)
 class Accept:
-    """Ask a replica that promised, in the life in which it did, to accept."""
+    """Ask a replica that promised to accept."""
 
     ballot: Ballot
-    life: Ballot
     replica_set: bytes
     transfer: Transfer
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -2,14 +2,27 @@
 
 import pytest
 
+from cuminstack import wire
+from cuminstack.core import InstanceId, Send
 from cuminstack.register import (
+    Accept,
+    Accepted,
+    Acceptor,
+    AcceptorState,
+    Ballot,
     Conflict,
     InForce,
     NoQuorum,
+    Persist,
+    Prepare,
+    Refused,
     SameAgain,
     Stale,
+    Standing,
+    encode_state,
+    set_stamp,
 )
-from fakes_network import Network, make_sheet
+from fakes_network import Disk, Network, Packet, make_sheet
 
 
 def _ready(replicas: int = 3, others: int = 2) -> Network:
@@ -109,3 +122,264 @@
         network.commit(two, make_sheet(2, 1))
         network.run(1)
         assert network.synced_version(one) == 2
+
+
+def _votes(network: Network) -> list[bool]:
+    """Tell which replicas vote."""
+    processes = network.processes
+    return [
+        name in processes and processes[name].register.votes
+        for name in network.replicas
+    ]
+
+
+class TestCrashes:
+    """A process may end at each step of a commit."""
+
+    @pytest.mark.parametrize('step', range(6))
+    @pytest.mark.parametrize('is_synced', [False, True])
+    def test_kill_around_each_sync(self, step: int, is_synced: bool) -> None:
+        network = _ready()
+        sheet = make_sheet(1, 0)
+        network.hold_syncs = True
+        ticket = network.submit(network.names[0], sheet)
+        network.deliver_all()
+        for _ in range(step):
+            network.sync_next()
+            network.deliver_all()
+        victim = network.next_to_sync()
+        if victim is not None:
+            persist = network.processes[victim].syncing.pop(0)
+            if is_synced:
+                network.disks[victim].record = encode_state(persist.state)
+            network.crash(victim)
+            network.start(victim)
+        network.hold_syncs = False
+        for name in network.names:
+            network.perform(name, ())
+        network.run(5)
+        outcome = network.outcome(ticket)
+        lost_answer = outcome is None and victim == network.names[0]
+        assert lost_answer or isinstance(outcome, InForce)
+        again = network.commit(network.names[1], sheet)
+        assert isinstance(again, InForce | SameAgain)
+        network.run(3)
+        versions = {
+            process.spread.sheet.version
+            for process in network.processes.values()
+        }
+        assert versions == {1}
+
+    def test_proposer_dies_after_acceptance(self) -> None:
+        network = _ready()
+        proposer = network.names[3]
+        network.keep = lambda packet: (
+            packet.to != proposer
+            or not isinstance(wire.decode(packet.frame), Accepted)
+        )
+        network.submit(proposer, make_sheet(1, 0))
+        network.deliver_all()
+        network.crash(proposer)
+        assert not network.all_learned
+        network.run(3)
+        # The replicas settle what nobody was told.
+        assert {sheet.version for sheet in network.all_learned} == {1}
+
+    @pytest.mark.parametrize('seconds', [0, 0.1, 0.5, 0.6])
+    def test_crashes_while_founding(self, seconds: float) -> None:
+        network = Network(3)
+        network.run(seconds)
+        for name in network.names:
+            network.crash(name)
+            network.start(name)
+            network.tick()
+        network.run(2)
+        assert _votes(network) == [True, True, True]
+
+    def test_unknown_then_resent(self) -> None:
+        network = _ready()
+        one = network.names[0]
+        network.keep = lambda packet: (
+            not isinstance(wire.decode(packet.frame), Accept)
+        )
+        outcome = network.commit(one, make_sheet(1, 0))
+        assert outcome == NoQuorum(maybe_accepted=True)
+        network.keep = lambda packet: True
+        again = network.commit(network.names[1], make_sheet(1, 0))
+        assert isinstance(again, InForce | SameAgain)
+
+
+class TestSyncs:
+    """Nothing is said before it is synced."""
+
+    def test_replies_wait(self) -> None:
+        acceptor, sequence = _acceptor()
+        effects = acceptor.receive(_PEER, _prepare(1), now=0)
+        assert [type(effect) for effect in effects] == [Persist]
+        released = acceptor.persisted(sequence + 1)
+        assert [type(effect) for effect in released] == [Send]
+
+    def test_one_sync_for_what_came_meanwhile(self) -> None:
+        acceptor, sequence = _acceptor()
+        acceptor.receive(_PEER, _prepare(1), now=0)
+        for number in (2, 3):
+            assert not acceptor.receive(_PEER, _prepare(number), now=0)
+        first = acceptor.persisted(sequence + 1)
+        assert [type(effect) for effect in first] == [Send, Persist]
+        rest = acceptor.persisted(sequence + 3)
+        assert [type(effect) for effect in rest] == [Send, Send]
+
+    def test_nothing_goes_out_after_a_failure(self) -> None:
+        acceptor, sequence = _acceptor()
+        acceptor.receive(_PEER, _prepare(1), now=0)
+        acceptor.persist_failed(sequence + 1, now=0)
+        assert not acceptor.votes
+        assert not acceptor.persisted(sequence + 1)
+        refused = acceptor.receive(_PEER, _prepare(1), now=1)[0]
+        assert isinstance(refused, Send)
+        assert isinstance(refused.message, Refused)
+        assert [type(each) for each in acceptor.tick(now=9)] == [Persist]
+        acceptor.persisted(sequence + 1)
+        assert acceptor.votes
+
+
+_PEER = InstanceId('peer')
+
+
+def _acceptor() -> tuple[Acceptor, int]:
+    """Give a lone replica that votes, and its last sequence."""
+    state = AcceptorState((InstanceId('own'),), 1, Standing.voting)
+    acceptor = Acceptor(state)
+    persist = acceptor.start()[0]
+    assert isinstance(persist, Persist)
+    acceptor.persisted(persist.sequence)
+    return acceptor, persist.sequence
+
+
+def _prepare(number: int) -> Prepare:
+    stamp = set_stamp((InstanceId('own'),))
+    return Prepare(Ballot(number, _PEER, 1), stamp)
+
+
+class TestDisks:
+    """Lost, damaged, full and slow disks."""
+
+    @pytest.mark.parametrize('damaged', [False, True])
+    def test_lost_disk_recovers(self, damaged: bool) -> None:
+        network = _ready()
+        one = network.names[0]
+        network.commit(one, make_sheet(1, 0))
+        network.crash(one)
+        network.disks[one] = Disk(damaged=damaged)
+        network.start(one)
+        assert _votes(network) == [False, True, True]
+        network.run(2)
+        assert _votes(network) == [True, True, True]
+        assert network.synced_version(one) == 1
+
+    def test_no_vote_without_enough_others(self) -> None:
+        network = _ready()
+        one, two, three, *_ = network.names
+        network.commit(one, make_sheet(1, 0))
+        network.crash(three)
+        network.lose_disk(one)
+        network.start(one)
+        network.run(3)
+        assert _votes(network) == [False, True, False]
+        outcome = network.commit(two, make_sheet(2, 1))
+        assert outcome == NoQuorum(maybe_accepted=False)
+        network.start(three)
+        network.run(3)
+        assert _votes(network) == [True, True, True]
+        outcome = network.commit(two, make_sheet(2, 1))
+        assert isinstance(outcome, InForce)
+
+    def test_two_failures_in_turn(self) -> None:
+        network = _ready()
+        names = network.names
+        network.isolate([names[2]])
+        network.commit(names[0], make_sheet(1, 0))
+        network.heal()
+        for victim in names[:2]:
+            network.lose_disk(victim)
+            network.start(victim)
+            network.run(2)
+            assert _votes(network) == [True, True, True]
+        again = network.commit(names[2], make_sheet(1, 0))
+        assert isinstance(again, SameAgain)
+
+    def test_all_but_one_disk_lost_at_once(self) -> None:
+        network = _ready()
+        one, two, three, *_ = network.names
+        network.commit(one, make_sheet(1, 0))
+        for victim in (one, two):
+            network.lose_disk(victim)
+            network.start(victim)
+        network.run(5)
+        # The one that has its disk must not be outvoted by empty ones.
+        assert _votes(network) == [False, False, True]
+
+    def test_full_disk_stops_the_vote_only(self) -> None:
+        network = _ready()
+        one, two, *_ = network.names
+        network.disks[one].fails = True
+        outcome = network.commit(two, make_sheet(1, 0))
+        assert isinstance(outcome, InForce)
+        assert _votes(network) == [False, True, True]
+        # It still takes submissions, and learns what is in force.
+        outcome = network.commit(one, make_sheet(2, 1))
+        assert isinstance(outcome, InForce)
+        network.disks[one].fails = False
+        network.run(6)
+        assert _votes(network) == [True, True, True]
+        network.commit(two, make_sheet(3, 2))
+        network.run(1)
+        assert network.synced_version(one) == 3
+
+    def test_paused_replica_comes_back(self) -> None:
+        network = _ready()
+        one, two, *_ = network.names
+        late: list[Packet] = []
+
+        def hold(packet: Packet) -> bool:
+            if packet.to == one:
+                late.append(packet)
+            return packet.to != one and packet.sender != one
+
+        network.keep = hold
+        for version in range(1, 80):
+            network.commit(two, make_sheet(version, version - 1))
+        network.keep = lambda packet: True
+        network.packets.extend(late)
+        network.run(3)
+        outcome = network.commit(one, make_sheet(80, 79))
+        assert isinstance(outcome, InForce)
+        network.run(1)
+        assert network.synced_version(one) == 80
+
+    def test_promise_of_an_earlier_life(self) -> None:
+        """The counterexample of the specification without fences."""
+        network = _ready(3, 1)
+        one, two, three, four = network.names
+        network.processes[four].register._ballots._highest = 50
+        _only(network, {four, one})
+        network.submit(four, make_sheet(1, 0, 'a'))
+        network.deliver_all()
+        _only(network, {one, two, three})
+        network.lose_disk(one)
+        network.start(one)
+        network.run(1)
+        _only(network, {one, three})
+        outcome = network.commit(one, make_sheet(1, 0, 'b'))
+        assert isinstance(outcome, InForce)
+        _only(network, {four, two})
+        network.run(1)
+        assert network.synced_version(two) == 0
+        _only(network, {one, two})
+        again = network.commit(two, make_sheet(1, 0, 'b'))
+        assert isinstance(again, SameAgain)
+
+
+def _only(network: Network, names: set[InstanceId]) -> None:
+    """Let only some instances hear each other."""
+    network.keep = lambda packet: {packet.sender, packet.to} <= names
