--- a/src/cuminstack/claims/_tally.py
+++ b/src/cuminstack/claims/_tally.py
@@ -31,26 +31,12 @@
         self._voters = voters
         self._groups = groups
         self._votes: dict[InstanceId, Vote] = {}
+        self._counting: dict[InstanceId, Vote] = {}
 
     @property
     def votes(self) -> Mapping[InstanceId, Vote]:
-        """The last vote of each replica that counts.
-
-        Once a replica is known to have restarted and to have asked another
-        voter for its claims, the votes that it gave before are void.
-        """
-        known = [
-            max(
-                (vote.vector[place] for vote in self._votes.values()), default=0
-            )
-            for place in range(len(self._voters))
-        ]
-        latest = dict(zip(self._voters, known, strict=True))
-        return {
-            name: vote
-            for name, vote in self._votes.items()
-            if vote.vector[self._voters.index(name)] >= latest[name]
-        }
+        """The last vote of each replica that counts."""
+        return self._counting
 
     @property
     def answers(self) -> tuple[Answer, ...]:
@@ -96,6 +82,7 @@
         if len(vote.vector) != len(self._voters):
             return False
         self._votes[sender] = vote
+        self._counting = self._sift()
         return True
 
     def final_state(self, ballot: Ballot, claim: Claim) -> VoteState | None:
@@ -152,6 +139,25 @@
             return Unclear()
         return possible[0] if possible else Free()
 
+    def _sift(self) -> dict[InstanceId, Vote]:
+        """Leave out the votes that are void.
+
+        Once a replica is known to have restarted and to have asked another
+        voter for its claims, the votes that it gave before don't count.
+        """
+        known = [
+            max(
+                (vote.vector[place] for vote in self._votes.values()), default=0
+            )
+            for place in range(len(self._voters))
+        ]
+        latest = dict(zip(self._voters, known, strict=True))
+        return {
+            name: vote
+            for name, vote in self._votes.items()
+            if vote.vector[self._voters.index(name)] >= latest[name]
+        }
+
     def _having(self, answers: set[Answer]) -> frozenset[InstanceId]:
         return frozenset(
             name for name, vote in self.votes.items() if vote.answer in answers
--- a/src/cuminstack/membership/_membership.py
+++ b/src/cuminstack/membership/_membership.py
@@ -103,9 +103,7 @@
 
     def tick(self, *, now: float) -> Effects:
         """Do what is due; call it a few times an interval."""
-        if now - self._ticked_at > self._timing.eager:
-            self._forgive(now)
-        self._ticked_at = now
+        self._notice_pause(now)
         effects: list[Effect] = [*self._accuse(now), *self._bury(now)]
         if self._beats.is_due(now=now):
             self._beats.open_round(now=now)
@@ -141,11 +139,18 @@
         effects = self._rumours.declare(Standing.leaving)
         return (*effects, *self._view.update(self._rumours, now=now))
 
-    def _forgive(self, now: float) -> None:
-        """Blame our own pause, not the peers, for the silence."""
-        self._rumours.forgive(now=now)
+    def _notice_pause(self, now: float) -> None:
+        """Blame our own pauses, not the peers, for the silence in them."""
+        started = self._ticked_at > _NEVER
+        pause = now - self._ticked_at
+        self._ticked_at = now
+        if started and pause > self._timing.eager:
+            self._rumours.forgive(pause)
         for peer in self._neighbours.values():
-            peer.forgive(now=now)
+            if not started:
+                peer.listen(now=now)
+            elif pause > self._timing.eager:
+                peer.forgive(pause)
 
     def _accuse(self, now: float) -> Effects:
         """Publish suspicions of silent neighbours, once a patient spell."""
@@ -165,7 +170,8 @@
         lost = [
             record
             for record in self._rumours.records
-            if self._rumours.suspected_for(record, now=now) >= wait
+            if record.standing is Standing.suspect
+            and self._rumours.suspected_for(record, now=now) >= wait
         ]
         silent = {
             name
--- a/src/cuminstack/membership/_peer.py
+++ b/src/cuminstack/membership/_peer.py
@@ -68,11 +68,14 @@
         """Treat the neighbour as silent until it is heard again."""
         self._heard_at = _NEVER
 
-    def forgive(self, *, now: float) -> None:
-        """Start a spell of listening anew, after a pause of our own."""
-        if self.incarnation:
-            self._heard_at = now
-            self._echoed_at = now
+    def listen(self, *, now: float) -> None:
+        """Count silence from now, as nothing could be heard before."""
+        self._heard_at = now
+
+    def forgive(self, pause: float) -> None:
+        """Leave a pause of our own out of all silence, in seconds."""
+        self._heard_at += pause
+        self._echoed_at += pause
 
     def silence(self, *, now: float) -> float:
         """Give the seconds since it was heard."""
--- a/src/cuminstack/membership/_rumours.py
+++ b/src/cuminstack/membership/_rumours.py
@@ -96,9 +96,12 @@
         """Give the seconds that a suspicion has stood; 0 if there is none."""
         return now - self._suspect_since.get(record.instance, now)
 
-    def forgive(self, *, now: float) -> None:
-        """Count the time of all suspicions from now, after a pause."""
-        self._suspect_since = dict.fromkeys(self._suspect_since, now)
+    def forgive(self, pause: float) -> None:
+        """Leave a pause of our own out of all suspicions, in seconds."""
+        self._suspect_since = {
+            instance: since + pause
+            for instance, since in self._suspect_since.items()
+        }
 
     def _note_suspicion(self, record: Record, now: float) -> None:
         if record.standing is Standing.suspect:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -232,6 +232,30 @@
         assert nine.views() == {ALL}
         assert {nine.routable(name) for name in nine.parts} == {ALL}
 
+    def test_own_pause_does_not_revive_the_dead(
+        self,
+        nine: Deployment,
+    ) -> None:
+        nine.kill('a2')
+        nine.run(TIMING.eager + 1)
+        nine.asleep.add('a1')
+        nine.run(TIMING.eager * 3)
+        nine.asleep.clear()
+        nine.run(STEP)
+        assert 'a2' not in nine.routable('a1')
+
+    def test_start_accuses_nobody(self, nine: Deployment) -> None:
+        nine.kill('a1')
+        nine.events.clear()
+        nine.start('a1', incarnation=2)
+        nine.run(3)
+        routed = [
+            {peer.instance for peer in event.routable}
+            for name, event in nine.events
+            if name == 'b3' and isinstance(event, ViewChanged)
+        ]
+        assert all(len(instances) >= 8 for instances in routed)
+
     def test_lost_news_is_made_up_for(self, nine: Deployment) -> None:
         nine.network.loss = 0.3
         nine.kill('c3')
