Lease idempotent jobs to their accepting instance

Cause: a resend of an idempotent job should find the running one, and run anew only once the accepting instance can't vouch for it any more. Change: best-effort leases on the same replicas, renewed until the outcome is recorded, with a generation that grows with each new holder; handovers moved to a module of their own.

--- a/src/cuminstack/claims/__init__.py
+++ b/src/cuminstack/claims/__init__.py
@@ -1,7 +1,15 @@
 """Write-once claims: who alone may start a job, over resends and deaths."""
 
 from cuminstack.claims._attempt import Patience
-from cuminstack.claims._client import ClaimClient, Effect, Effects
+from cuminstack.claims._client import ClaimClient
+from cuminstack.claims._lease_messages import (
+    Lease,
+    Leased,
+    LeaseLost,
+    LeaseRequest,
+    LeaseVote,
+)
+from cuminstack.claims._leaseholder import LeaseClient, LeaseTerms
 from cuminstack.claims._messages import (
     AlreadyClaimed,
     Answer,
@@ -17,7 +25,7 @@
     Vote,
 )
 from cuminstack.claims._replica import ClaimReplica
-from cuminstack.claims._service import Claims
+from cuminstack.claims._service import Claims, Effect, Effects
 from cuminstack.claims._store import Limits
 from cuminstack.claims._values import Ballot, Claim, Entry, VoteState
 from cuminstack.claims._view import ClaimView, replicas
@@ -36,6 +44,13 @@
     'Effects',
     'Entry',
     'Handover',
+    'Lease',
+    'LeaseClient',
+    'LeaseLost',
+    'LeaseRequest',
+    'LeaseTerms',
+    'LeaseVote',
+    'Leased',
     'Limits',
     'NoMajority',
     'Outcomes',
--- a/src/cuminstack/claims/_client.py
+++ b/src/cuminstack/claims/_client.py
@@ -129,8 +129,8 @@
 
     def cancel(self, job: JobId, *, now: float) -> Effects:
         """Give up the attempt at a job, if one is under way."""
-        attempt = self._attempts.get(job)
-        return () if attempt is None else self._give_up(attempt, now)
+        found = self._attempts.get(job)
+        return () if found is None else self._give_up(found, now)
 
     def record_outcome(self, job: JobId, outcome: bytes) -> None:
         """Have the outcome of a job that was claimed here recorded.
@@ -139,8 +139,11 @@
         """
         kept = self._held.pop(job, None)
         if kept is not None:
-            settled = Settled(job, kept.claim, outcome, kept.voters)
-            self._outbox.put(settled, kept.voters)
+            self.settle(Settled(job, kept.claim, outcome, kept.voters))
+
+    def settle(self, settled: Settled) -> None:
+        """Have an outcome recorded, with the next tick."""
+        self._outbox.put(settled, settled.voters)
 
     def _claim_for(self, job: JobId, digest: bytes) -> Claim:
         """Give an abandoned claim once more, else a new one."""
--- /dev/null
+++ b/src/cuminstack/claims/_handovers.py
@@ -0,0 +1,112 @@
+"""What a replica hands over to others that restarted."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.claims._catchup import CatchUp
+from cuminstack.claims._messages import Fence, Handover, Pull
+from cuminstack.claims._store import Store
+from cuminstack.claims._view import ClaimView
+from cuminstack.core import Instance, InstanceId, JobId, Send
+
+#: Claims in one page of a handover.
+_PAGE_CLAIMS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """What is being handed over, by incarnation and serial of the request."""
+
+    asked: tuple[int, int]
+    whole: bool
+    caught_up: tuple[InstanceId, ...]
+    jobs: tuple[JobId, ...]
+
+
+class Handovers:
+    """Hands over claims, and remembers which restarts are known.
+
+    Args:
+        own: This instance, with its live incarnation.
+        view: The configured instances.
+        store: The claims.
+        catch_up: Which jobs this replica is fit to vote on.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        view: ClaimView,
+        store: Store,
+        catch_up: CatchUp,
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._catch_up = catch_up
+        self._fences = {own.instance: own.incarnation}
+        self._snapshots: dict[InstanceId, _Snapshot] = {}
+
+    def vector(self, voters: Sequence[InstanceId]) -> tuple[int, ...]:
+        """Give the latest known incarnation of each voter; 0 if none."""
+        return tuple(self._fences.get(name, 0) for name in voters)
+
+    def learn(self, fences: Iterable[Fence]) -> None:
+        """Take the restarts that another replica knows of."""
+        for fence in fences:
+            known = self._fences.get(fence.instance, 0)
+            self._fences[fence.instance] = max(known, fence.incarnation)
+
+    def give(
+        self,
+        sender: InstanceId,
+        pull: Pull,
+        *,
+        now: float,
+    ) -> tuple[Send, ...]:
+        """Give the page that a restarted replica asks for."""
+        if pull.incarnation < self._fences.get(sender, 0):
+            return ()
+        self._fences[sender] = pull.incarnation
+        snapshot = self._snapshot_for(sender, pull)
+        if snapshot is None:
+            return ()
+        begin = pull.page * _PAGE_CLAIMS
+        end = begin + _PAGE_CLAIMS
+        page = Handover(
+            incarnation=pull.incarnation,
+            number=self._view.number,
+            age=self._catch_up.age(now=now),
+            serial=pull.serial,
+            page=pull.page,
+            last=end >= len(snapshot.jobs),
+            whole=snapshot.whole,
+            caught_up=snapshot.caught_up,
+            fences=tuple(
+                Fence(name, incarnation)
+                for name, incarnation in sorted(self._fences.items())
+            ),
+            entries=self._store.entries(snapshot.jobs[begin:end], now=now),
+        )
+        return (Send(sender, page),)
+
+    def _snapshot_for(
+        self,
+        sender: InstanceId,
+        pull: Pull,
+    ) -> _Snapshot | None:
+        """Give the jobs that a request runs through, fixed at its start."""
+        held = self._snapshots.get(sender)
+        asked = (pull.incarnation, pull.serial)
+        if held is not None and held.asked == asked:
+            return held
+        if pull.page or (held is not None and held.asked > asked):
+            return None
+        snapshot = _Snapshot(
+            asked=asked,
+            whole=self._catch_up.is_whole,
+            caught_up=self._catch_up.caught_up,
+            jobs=self._store.shared_with(sender),
+        )
+        self._snapshots[sender] = snapshot
+        return snapshot
--- a/src/cuminstack/claims/_replica.py
+++ b/src/cuminstack/claims/_replica.py
@@ -1,14 +1,13 @@
 """A claim replica: votes, hands over to restarted ones, and catches up."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
 from functools import singledispatchmethod
-from typing import Final
 
 from cuminstack.claims._catchup import CatchUp
+from cuminstack.claims._handovers import Handovers
+from cuminstack.claims._lease_messages import Lease, LeaseRequest, LeaseVote
+from cuminstack.claims._lease_table import LeaseTable
 from cuminstack.claims._messages import (
     Answer,
-    Fence,
     Handover,
     Outcomes,
     Prepare,
@@ -22,19 +21,6 @@
 from cuminstack.claims._view import ClaimView
 from cuminstack.core import Instance, InstanceId, JobId, Send
 
-#: Claims in one page of a handover.
-_PAGE_CLAIMS: Final = 500
-
-
-@dataclass(frozen=True, slots=True)
-class _Snapshot:
-    """What is being handed over, by incarnation and serial of the request."""
-
-    asked: tuple[int, int]
-    whole: bool
-    caught_up: tuple[InstanceId, ...]
-    jobs: tuple[JobId, ...]
-
 
 class ClaimReplica:
     """Votes on claims, in memory.
@@ -55,8 +41,6 @@
         now: float,
     ) -> None:
         limits = Limits() if limits is None else limits
-        self._own = own
-        self._view = view
         self._floor = view.number
         self._store = Store(limits)
         self._catch_up = CatchUp(
@@ -65,8 +49,8 @@
             lifetime=limits.lifetime,
             now=now,
         )
-        self._fences = {own.instance: own.incarnation}
-        self._snapshots: dict[InstanceId, _Snapshot] = {}
+        self._handovers = Handovers(own, view, self._store, self._catch_up)
+        self._leases = LeaseTable(lifetime=limits.lifetime, jobs=limits.jobs)
 
     def __len__(self) -> int:
         return len(self._store)
@@ -87,6 +71,7 @@
     def tick(self, *, now: float) -> tuple[Send, ...]:
         """Do what is due; call it at least once a second."""
         self._store.expire(now=now)
+        self._leases.expire(now=now)
         return self._catch_up.tick(now=now)
 
     def receive(
@@ -160,6 +145,22 @@
             register.involve(settled.voters)
         return (Send(sender, Recorded(message.serial)),)
 
+    @_take.register
+    def _take_lease(
+        self,
+        request: LeaseRequest,
+        sender: InstanceId,
+        now: float,
+    ) -> tuple[Send, ...]:
+        register = self._store.get(request.job)
+        outcome = None if register is None else register.state.outcome
+        if register is None or outcome is None:
+            lease = self._leases.ask(request, now=now)
+        else:
+            lease = _lease_of(register.state)
+        vote = LeaseVote(request.job, request.serial, lease, outcome)
+        return (Send(sender, vote),)
+
     @_take.register
     def _take_pull(
         self,
@@ -167,30 +168,7 @@
         sender: InstanceId,
         now: float,
     ) -> tuple[Send, ...]:
-        if pull.incarnation < self._fences.get(sender, 0):
-            return ()
-        self._fences[sender] = pull.incarnation
-        snapshot = self._snapshot_for(sender, pull)
-        if snapshot is None:
-            return ()
-        begin = pull.page * _PAGE_CLAIMS
-        end = begin + _PAGE_CLAIMS
-        page = Handover(
-            incarnation=pull.incarnation,
-            number=self._view.number,
-            age=self._catch_up.age(now=now),
-            serial=pull.serial,
-            page=pull.page,
-            last=end >= len(snapshot.jobs),
-            whole=snapshot.whole,
-            caught_up=snapshot.caught_up,
-            fences=tuple(
-                Fence(name, incarnation)
-                for name, incarnation in sorted(self._fences.items())
-            ),
-            entries=self._store.entries(snapshot.jobs[begin:end], now=now),
-        )
-        return (Send(sender, page),)
+        return self._handovers.give(sender, pull, now=now)
 
     @_take.register
     def _take_handover(
@@ -201,9 +179,7 @@
     ) -> tuple[Send, ...]:
         if not self._catch_up.expects(sender, page):
             return ()
-        for fence in page.fences:
-            known = self._fences.get(fence.instance, 0)
-            self._fences[fence.instance] = max(known, fence.incarnation)
+        self._handovers.learn(page.fences)
         for entry in page.entries:
             self._store.adopt(entry, now=now)
         return self._catch_up.take(sender, page, now=now)
@@ -234,31 +210,14 @@
             job=request.job,
             serial=request.serial,
             answer=answer,
-            vector=self._vector(request.voters),
+            vector=self._handovers.vector(request.voters),
             state=state,
         )
         return Send(to, vote)
 
-    def _vector(self, voters: Sequence[InstanceId]) -> tuple[int, ...]:
-        return tuple(self._fences.get(name, 0) for name in voters)
 
-    def _snapshot_for(
-        self,
-        sender: InstanceId,
-        pull: Pull,
-    ) -> _Snapshot | None:
-        """Give the jobs that a request runs through, fixed at its start."""
-        held = self._snapshots.get(sender)
-        asked = (pull.incarnation, pull.serial)
-        if held is not None and held.asked == asked:
-            return held
-        if pull.page or (held is not None and held.asked > asked):
-            return None
-        snapshot = _Snapshot(
-            asked=asked,
-            whole=self._catch_up.is_whole,
-            caught_up=self._catch_up.caught_up,
-            jobs=self._store.shared_with(sender),
-        )
-        self._snapshots[sender] = snapshot
-        return snapshot
+def _lease_of(state: VoteState) -> Lease:
+    """Give the holder that recorded the outcome of a job."""
+    claim = state.claim
+    assert claim is not None
+    return Lease(claim.holder, claim.incarnation, claim.digest, claim.nonce)
