--- a/src/cuminstack/claims/_replica.py
+++ b/src/cuminstack/claims/_replica.py
@@ -19,7 +19,7 @@
 from cuminstack.claims._store import Limits, Store
 from cuminstack.claims._values import VoteState
 from cuminstack.claims._view import ClaimView
-from cuminstack.core import Instance, InstanceId, JobId, Send
+from cuminstack.core import Instance, InstanceId, Send
 
 
 class ClaimReplica:
