Take asks back once met, ask where slots are in use, count caps everywhere

Cause: each single task beside a rush left wants at three other instances, which were met first: 760 unneeded slots a second against 548 freed ones (trace), so singles waited 24 ms at p90. Asks stood at the first instances by name, whether or not they held slots. A cap held for each instance only. Change: asks that stand go where most slots are in use, by hints that also carry busy slots, and are taken back once nothing waits; heartbeats may carry a summary (observe_summary) whose use counts for caps.

--- a/bench/policies/_cluster.py
+++ b/bench/policies/_cluster.py
@@ -25,6 +25,7 @@
     ZoneName,
 )
 from cuminstack.slots import (
+    Ask,
     Effects,
     Grant,
     LeasePolicy,
@@ -60,6 +61,11 @@
         """Time with a free slot at once for each task, in seconds."""
         return max(self.arrival.runs) + 2 * HOP_SECONDS
 
+    @property
+    def twice(self) -> int:
+        """Tasks that were started more than once."""
+        return sum(count > 1 for count in self.started.values())
+
     @property
     def ratio(self) -> float | None:
         """Response time over the ideal; none if not done."""
@@ -234,7 +240,7 @@
             return
         for peer, other in self.policies.items():
             if peer != own and isinstance(other, LeasePolicy):
-                other.observe_hint(own, policy.free_slots, now=self.now)
+                other.observe_summary(own, policy.summary, now=self.now)
 
     def perform(self, own: InstanceId, effects: Effects) -> None:
         """Do what a policy asks for."""
@@ -251,6 +257,8 @@
         self.messages[wire.kind_of(message)] += 1
         if isinstance(message, Grant) and not message.slots:
             self.waste['empty replies'] += 2
+        if isinstance(message, Ask) and not message.wanted:
+            self.waste['cancelled asks'] += 1
         receive = partial(self._receive, effect.to, own, message)
         self.at(self.now + HOP_SECONDS, receive)
 
--- a/src/cuminstack/fairness/_member.py
+++ b/src/cuminstack/fairness/_member.py
@@ -49,6 +49,7 @@
     share: Share = Share()
     virtual: float = 0
     running: int = 0
+    elsewhere: int = 0
     waiting: int = 0
     mean: float = _FIRST_MEAN_SECONDS
     heaps: dict[Hashable, list[_Item]] = field(default_factory=dict)
@@ -57,7 +58,7 @@
     @property
     def capped(self) -> bool:
         """Whether the member holds all the slots that it may."""
-        return 0 < self.share.max_slots <= self.running
+        return 0 < self.share.max_slots <= self.running + self.elsewhere
 
     @property
     def active(self) -> bool:
--- a/src/cuminstack/fairness/_queue.py
+++ b/src/cuminstack/fairness/_queue.py
@@ -126,6 +126,11 @@
         """Add use that was granted elsewhere."""
         self._account(member).charge(seconds)
 
+    def observe_elsewhere(self, running: Mapping[str, int]) -> None:
+        """Take the slots that members hold elsewhere; they count for caps."""
+        for name, account in self._accounts.items():
+            account.elsewhere = running.get(name, 0)
+
     def running(self, member: str) -> int:
         """Tell how many slots a member holds by turns of this queue."""
         return self._account(member).running
--- a/src/cuminstack/slots/__init__.py
+++ b/src/cuminstack/slots/__init__.py
@@ -17,6 +17,7 @@
     EndpointSlots,
     Grant,
     Hint,
+    SlotSummary,
     Use,
     Wanted,
 )
@@ -52,6 +53,7 @@
     'QueuedTask',
     'RandomPolicy',
     'RoundRobinPolicy',
+    'SlotSummary',
     'TwoChoicesPolicy',
     'Use',
     'Wanted',
--- a/src/cuminstack/slots/_borrowing.py
+++ b/src/cuminstack/slots/_borrowing.py
@@ -1,6 +1,6 @@
 """Whom this instance has asked for slots, and whom to ask next."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil
 from typing import Final
@@ -16,9 +16,9 @@
 #: Until an instance that had too little is asked anew, in seconds.
 _DRY_SECONDS: Final = 0.05
 #: Slots asked for by asks that stand, for each one that is missing.
-_SPREAD: Final = 2
+_SPREAD: Final = 1.5
 #: Instances at which an ask stands at least.
-_LEAST_STANDS: Final = 4
+_LEAST_STANDS: Final = 2
 #: Free slots that an instance must be thought to hold to be asked.
 _WORTH_ASKING: Final = 1
 
@@ -76,9 +76,17 @@
         peers: Iterable[InstanceId],
         count: int,
         *,
+        running: int,
         now: float,
     ) -> tuple[Request, ...]:
-        """Choose whom to ask now for so many slots."""
+        """Choose whom to ask now for so many slots.
+
+        Args:
+            peers: The other instances in the view.
+            count: Own tasks that wait.
+            running: Own tasks that run, whose slots will be freed here.
+            now: The present time, in seconds.
+        """
         self._asked = {
             peer: asked
             for peer, asked in self._asked.items()
@@ -88,8 +96,7 @@
         awaited = self._awaited(stands=False)
         requests = self._probe(ready, count - awaited, now)
         if not requests and not awaited:
-            standing = self._awaited(stands=True)
-            requests = self._stand(ready, _SPREAD * count - standing)
+            requests = self._stand(ready, _SPREAD * count, running, now)
         for request in requests:
             asked = _Asked(now, request.count, request.stands)
             self._asked[request.peer] = asked
@@ -118,6 +125,17 @@
         if asked.count <= 0 or probed:
             self._asked.pop(peer)
 
+    def cancel(self, *, now: float) -> tuple[Request, ...]:
+        """Take back the asks that stand, once nothing waits."""
+        standing = tuple(
+            peer
+            for peer, asked in self._asked.items()
+            if asked.stands and asked.open(now)
+        )
+        for peer in standing:
+            self._asked.pop(peer)
+        return tuple(Request(each, 0, stands=True) for each in standing)
+
     def _awaited(self, *, stands: bool) -> int:
         return sum(
             asked.count
@@ -133,7 +151,7 @@
     ) -> tuple[Request, ...]:
         """Ask the fewest that may have so many free slots."""
         guesses = {
-            peer: self._hints.estimate(peer, now=now)
+            peer: self._hints.free(peer, now=now)
             for peer in ready
             if self._dry.get(peer, now) <= now
         }
@@ -149,12 +167,24 @@
 
     def _stand(
         self,
-        ready: Sequence[InstanceId],
-        count: int,
+        ready: Iterable[InstanceId],
+        count: float,
+        running: int,
+        now: float,
     ) -> tuple[Request, ...]:
-        """Let even parts of so many slots stand."""
-        if not ready or count <= 0:
-            return ()
-        every = ceil(count / len(ready))
-        chosen = ready[: max(ceil(count / every), _LEAST_STANDS)]
-        return tuple(Request(peer, every, stands=True) for peer in chosen)
+        """Let asks stand where most slots are in use, in proportion."""
+        busy = {peer: self._hints.busy(peer, now=now) for peer in ready}
+        elsewhere = sum(self._hints.busy(peer, now=now) for peer in self._asked)
+        total = sum(busy.values()) + elsewhere + running
+        missing = count - self._awaited(stands=True)
+        missing -= count * running / max(1, total)
+        requests: list[Request] = []
+        busiest = sorted(busy, key=lambda each: (-busy[each], each))
+        for peer in busiest:
+            few = len(requests) + len(self._asked) < _LEAST_STANDS
+            if missing <= 0 and not few:
+                break
+            part = ceil(count * busy[peer] / max(1, total))
+            requests.append(Request(peer, max(1, part), stands=True))
+            missing -= part
+        return tuple(requests)
--- a/src/cuminstack/slots/_demand.py
+++ b/src/cuminstack/slots/_demand.py
@@ -3,11 +3,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Final
 
 from cuminstack.core import InstanceId, JobId, MemberName, TaskId
 from cuminstack.fairness import Demand, FairQueue, Share, Turn
-from cuminstack.slots._messages import Ask, Wanted
+from cuminstack.slots._messages import Ask, Use, Wanted
 from cuminstack.slots._policy import MemberTerms, QueuedTask
 from cuminstack.slots._queue import TaskClass, TaskQueue, class_of
 from cuminstack.slots._usage import Usage
@@ -73,7 +74,7 @@
         self._lanes: Counter[TaskClass] = Counter()
         self._wants: dict[_Wanting, _Want] = {}
         self._turns: dict[TaskId, tuple[_Turn, float]] = {}
-        self._usage = Usage()
+        self.usage = Usage()
 
     @property
     def lanes(self) -> tuple[tuple[TaskClass, int], ...]:
@@ -110,12 +111,24 @@
     def want(self, sender: InstanceId, ask: Ask, *, now: float) -> None:
         """Put the wants of an instance in place of its last ones."""
         self.forget(sender, ask.member)
-        for use in ask.uses:
-            self._fair.charge(use.member, self._usage.learn(sender, use))
+        self.learn(sender, ask.uses, now=now)
         jobs = [self._file_want(sender, want, now) for want in ask.wanted]
         wanting = _Wanting(sender, ask.member)
         self._wants[wanting] = _Want(tuple(jobs), now + WANT_SECONDS)
 
+    def learn(
+        self,
+        sender: InstanceId,
+        uses: Iterable[Use],
+        *,
+        now: float,
+    ) -> None:
+        """Take the use that an instance tells."""
+        fresh = self.usage.learn(sender, uses, now=now)
+        for member, seconds in fresh.items():
+            self._fair.charge(member, seconds)
+        self._fair.observe_elsewhere(self.usage.elsewhere(now=now))
+
     def forget(self, sender: InstanceId, member: str) -> None:
         """Drop the wants of an instance for a member."""
         want = self._wants.pop(_Wanting(sender, member), None)
@@ -125,6 +138,7 @@
     def expire(self, alive: Iterable[InstanceId], *, now: float) -> None:
         """Drop old wants, and those of instances that have gone."""
         living = set(alive)
+        self._fair.observe_elsewhere(self.usage.elsewhere(now=now))
         for wanting, want in tuple(self._wants.items()):
             if want.end <= now or wanting.sender not in living:
                 self.forget(wanting.sender, wanting.member)
@@ -145,13 +159,13 @@
         task = self._tasks.pop(turn.key).task
         self._count(turn.key.lane, -1)
         self._turns[task] = (turn, now)
-        self._usage.add(turn.member, turn.charge)
+        self.usage.begin(turn.member, turn.charge)
         return task
 
     def lend(self, turn: _Turn) -> None:
         """Let another instance have a turn; it will tell the true use."""
         self._fair.release(turn, turn.charge)
-        self._usage.lend(turn.key.instance, turn.member, turn.charge)
+        self.usage.lend(turn.key.instance, turn.member, turn.charge)
 
     def end(self, task: TaskId, *, started: bool, now: float) -> None:
         """End the turn of an own task."""
@@ -161,7 +175,7 @@
             self._fair.settle(turn, seconds)
         else:
             self._fair.release(turn)
-        self._usage.add(turn.member, seconds - turn.charge)
+        self.usage.end(turn.member, seconds - turn.charge)
 
     def ask(
         self,
@@ -173,17 +187,17 @@
     ) -> Ask:
         """Ask for so many slots, and tell what members have used."""
         wanted: list[Wanted] = []
-        leaders = self._fair.leaders(member, _MAX_WANTED, only=self._is_own)
+        leaders = self._fair.leaders(
+            member,
+            _MAX_WANTED,
+            only=partial(_waits_at, self._own),
+        )
         for demand in leaders:
             if count > 0:
                 wanted.append(_wanted(demand, min(count, demand.waiting), now))
             count -= demand.waiting
-        members = {turn.member for turn, _ in self._turns.values()}
-        uses = self._usage.uses(members | {member})
-        return Ask(member, tuple(wanted), uses, stands)
-
-    def _is_own(self, job: WaitingJob) -> bool:
-        return job.instance == self._own
+        uses = self.usage.uses(member)
+        return Ask(member, tuple(wanted), self.usage.running, uses, stands)
 
     def _job_of(self, task: QueuedTask) -> WaitingJob:
         return WaitingJob(self._own, task.task.job, class_of(task))
@@ -224,6 +238,10 @@
         return job
 
 
+def _waits_at(instance: InstanceId, job: WaitingJob) -> bool:
+    return job.instance == instance
+
+
 def _wanted(
     demand: Demand[WaitingJob],
     count: int,
--- a/src/cuminstack/slots/_dispatcher.py
+++ b/src/cuminstack/slots/_dispatcher.py
@@ -86,7 +86,7 @@
 
     def answer(self, sender: InstanceId, ask: Ask, now: float) -> Effects:
         """Give another instance what is free, or let its wants stand."""
-        self.hints.observe(sender, 0, at=now)
+        self.hints.observe(sender, 0, ask.busy, at=now)
         self.demand.want(sender, ask, now=now)
         starts = self._start(now)
         reply: Effects = ()
@@ -150,10 +150,16 @@
         for lane, count in self.demand.lanes:
             if self.placement.fitting(lane):
                 missing[lane.service.member] += count
+        requests = {
+            member: self._choose(member, missing[member], now)
+            for member in missing
+        }
+        for idle in self._borrowing.keys() - missing.keys():
+            requests[idle] = self._borrowing[idle].cancel(now=now)
         return tuple(
             self._request(member, request, now)
-            for member in missing
-            for request in self._choose(member, missing[member], now)
+            for member in sorted(requests)
+            for request in requests[member]
         )
 
     def _choose(
@@ -164,8 +170,12 @@
     ) -> tuple[Request, ...]:
         if member not in self._borrowing:
             self._borrowing[member] = Borrowing(self.hints)
-        peers = self.renewal.owners.peers
-        return self._borrowing[member].choose(peers, count, now=now)
+        return self._borrowing[member].choose(
+            self.renewal.owners.peers,
+            count,
+            running=self.demand.usage.running,
+            now=now,
+        )
 
     def _request(
         self,
@@ -182,7 +192,7 @@
         return Send(request.peer, ask)
 
     def _tell(self, now: float) -> tuple[Hint, ...]:
-        own = Hint(self._own, self.holdings.free, 0)
+        own = Hint(self._own, self.holdings.free, self.demand.usage.running, 0)
         return (own, *self.hints.give(now=now))
 
     def _check_pause(self, now: float) -> None:
--- a/src/cuminstack/slots/_hints.py
+++ b/src/cuminstack/slots/_hints.py
@@ -1,6 +1,7 @@
-"""Where free slots may be found."""
+"""Where free slots may be found, and where some will be freed."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from cuminstack.core import InstanceId
@@ -8,23 +9,42 @@
 
 #: Age at which a hint is worth no more than the guess, in seconds.
 _STALE_SECONDS: Final = 1
-#: Free slots that an instance is thought to hold of which nothing is known.
-_GUESS: Final = 2
+#: Slots that an instance is thought to hold of which nothing is known.
+_GUESSED_FREE: Final = 2
+_GUESSED_BUSY: Final = 8
 #: Hints in one message.
 _MAX_HINTS: Final = 16
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """What was known of an instance at a time."""
+
+    at: float
+    free: int
+    busy: int
+
+
 class Hints:
-    """Free slots by instance, each with the time when it was known."""
+    """Slots by instance, free and busy ones, and when that was known."""
 
     def __init__(self) -> None:
-        self._known: dict[InstanceId, tuple[float, int]] = {}
+        self._known: dict[InstanceId, _Known] = {}
 
-    def observe(self, instance: InstanceId, free: int, *, at: float) -> None:
-        """Take a count, unless a newer one is known."""
+    def observe(
+        self,
+        instance: InstanceId,
+        free: int,
+        busy: int | None = None,
+        *,
+        at: float,
+    ) -> None:
+        """Take counts, unless newer ones are known."""
         known = self._known.get(instance)
-        if known is None or known[0] <= at:
-            self._known[instance] = (at, free)
+        if busy is None:
+            busy = known.busy if known else _GUESSED_BUSY
+        if known is None or known.at <= at:
+            self._known[instance] = _Known(at, free, busy)
 
     def merge(
         self,
@@ -36,7 +56,8 @@
         """Take the hints of another instance."""
         for hint in hints:
             if hint.instance != own:
-                self.observe(hint.instance, hint.free, at=now - hint.age)
+                at = now - hint.age
+                self.observe(hint.instance, hint.free, hint.busy, at=at)
 
     def keep(self, alive: Iterable[InstanceId]) -> None:
         """Forget the instances that have left the view."""
@@ -49,16 +70,30 @@
         """Give the freshest hints."""
         newest = sorted(
             self._known.items(),
-            key=lambda pair: (-pair[1][0], pair[0]),
+            key=lambda pair: (-pair[1].at, pair[0]),
         )
         return tuple(
-            Hint(peer, free, now - at)
-            for peer, (at, free) in newest[:_MAX_HINTS]
-            if now - at < _STALE_SECONDS
+            Hint(peer, known.free, known.busy, now - known.at)
+            for peer, known in newest[:_MAX_HINTS]
+            if now - known.at < _STALE_SECONDS
         )
 
-    def estimate(self, peer: InstanceId, *, now: float) -> float:
+    def free(self, peer: InstanceId, *, now: float) -> float:
         """Guess the free slots of an instance."""
-        at, free = self._known.get(peer, (now - _STALE_SECONDS, 0))
-        trust = max(0, 1 - (now - at) / _STALE_SECONDS)
-        return trust * free + (1 - trust) * _GUESS
+        known = self._recall(peer, now)
+        trust = _trust(known, now)
+        return trust * known.free + (1 - trust) * _GUESSED_FREE
+
+    def busy(self, peer: InstanceId, *, now: float) -> float:
+        """Guess the slots in use at an instance."""
+        known = self._recall(peer, now)
+        trust = _trust(known, now)
+        return trust * known.busy + (1 - trust) * _GUESSED_BUSY
+
+    def _recall(self, peer: InstanceId, now: float) -> _Known:
+        nothing = _Known(now - _STALE_SECONDS, 0, 0)
+        return self._known.get(peer, nothing)
+
+
+def _trust(known: _Known, now: float) -> float:
+    return max(0, 1 - (now - known.at) / _STALE_SECONDS)
--- a/src/cuminstack/slots/_leases.py
+++ b/src/cuminstack/slots/_leases.py
@@ -11,7 +11,13 @@
     TaskId,
 )
 from cuminstack.slots._dispatcher import Dispatcher
-from cuminstack.slots._messages import Ask, Claim, Claimed, Grant
+from cuminstack.slots._messages import (
+    Ask,
+    Claim,
+    Claimed,
+    Grant,
+    SlotSummary,
+)
 from cuminstack.slots._policy import Effects, MemberTerms, QueuedTask, policy
 
 #: Until leases that nobody here needs go back to the owner, in seconds.
@@ -40,6 +46,12 @@
         """Free slots held, for the hints on heartbeats."""
         return self._dispatcher.holdings.free
 
+    @property
+    def summary(self) -> SlotSummary:
+        """What heartbeats should carry to `observe_summary`."""
+        usage = self._dispatcher.demand.usage
+        return SlotSummary(self.free_slots, usage.running, usage.uses())
+
     @property
     def unused_leases(self) -> int:
         """Leases got from other instances that went without use."""
@@ -67,6 +79,23 @@
         if instance != self._own:
             self._dispatcher.hints.observe(instance, free_slots, at=now)
 
+    def observe_summary(
+        self,
+        instance: InstanceId,
+        summary: SlotSummary,
+        *,
+        now: float,
+    ) -> None:
+        """Take the summary that a heartbeat carried.
+
+        Besides the counts of slots it tells what members use there, which
+        counts for their caps.
+        """
+        if instance != self._own:
+            hints = self._dispatcher.hints
+            hints.observe(instance, summary.free, summary.busy, at=now)
+            self._dispatcher.demand.learn(instance, summary.uses, now=now)
+
     def limit_endpoint(
         self,
         endpoint: EndpointId,
--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -48,27 +48,51 @@
 
 @dataclass(frozen=True, slots=True)
 class Use:
-    """Slot-seconds that a member has had through the sender, in all."""
+    """Use of a member through the sender.
+
+    Args:
+        member: The member.
+        seconds: Slot-seconds that it has had, in all.
+        running: Its tasks that run now.
+    """
 
     member: MemberName
     seconds: float
+    running: int
 
 
 @dataclass(frozen=True, slots=True)
 class Hint:
-    """Free slots that an instance was last known to hold.
+    """Slots that an instance was last known to hold.
 
     Args:
         instance: The instance.
         free: Its free slots.
+        busy: Those in use.
         age: Since that was known, in seconds.
     """
 
     instance: InstanceId
     free: int
+    busy: int
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class SlotSummary:
+    """What heartbeats carry for the policy.
+
+    Args:
+        free: Free slots that the sender holds.
+        busy: Those in use.
+        uses: Use of the members that run tasks there.
+    """
+
+    free: int
+    busy: int
+    uses: tuple[Use, ...] = ()
+
+
 @wire.message('slots.ask')
 @dataclass(frozen=True, slots=True)
 class Ask:
@@ -77,6 +101,7 @@
     Args:
         member: Whose tasks wait.
         wanted: By job; no more slots in all than are wanted of the receiver.
+        busy: Slots that are in use at the sender.
         uses: What members have used through the sender.
         stands: Whether slots that are freed later are wanted too.  If so,
             there is no reply but the grants; if not, there is one at once.
@@ -84,6 +109,7 @@
 
     member: MemberName
     wanted: tuple[Wanted, ...]
+    busy: int = 0
     uses: tuple[Use, ...] = ()
     stands: bool = False
 
