Lease idempotent jobs, record outcomes with claims, adopt endpoints at once

Cause: an idempotent job's resend ran by a chain of claims that a paused holder knew nothing of; after a shutdown its endpoints were unknown for up to an announcement (process test: refused, no endpoint). Change: leases of the claim replicas, asked just before each start; outcomes up to 64 KiB recorded with the claim; the next owner adopts endpoints at the change of the view and the last owner's table is kept until it has.

--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -175,19 +175,17 @@
             effects.extend(self._pass_deadline(job, now=now))
         return tuple(effects)
 
-    def fail_all(self, reason: FailureReason, *, now: float) -> JobEffects:
-        """End every job that this instance can no longer vouch for."""
-        effects: list[JobEffect] = []
-        for job in tuple(self._running.values()):
-            effects.extend(
-                self._give_up(
-                    job,
-                    reason,
-                    RefusalReason.overloaded,
-                    now=now,
-                ),
-            )
-        return tuple(effects)
+    def lose_lease(self, job_id: JobId, *, now: float) -> JobEffects:
+        """End a job that this instance can no longer vouch for."""
+        job = self._running.get(job_id)
+        if job is None:
+            return ()
+        return self._give_up(
+            job,
+            FailureReason.lease_lost,
+            RefusalReason.overloaded,
+            now=now,
+        )
 
     def _pass_deadline(self, job: Job, *, now: float) -> JobEffects:
         return self._give_up(
--- a/src/cuminstack/node/_claims.py
+++ b/src/cuminstack/node/_claims.py
@@ -1,26 +1,30 @@
-"""Claims of jobs, between the intake and the claim replicas."""
+"""Claims and leases of jobs, between the intake and the claim replicas."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
+from cuminstack import wire
 from cuminstack.claims import (
     AlreadyClaimed,
     Claimed,
     Claims,
-    Handover,
+    Leased,
     NoMajority,
-    Outcomes,
-    Prepare,
-    Propose,
-    Pull,
-    Recorded,
-    Vote,
 )
-from cuminstack.core import Instance, InstanceId, JobId, JobKey
-from cuminstack.jobs import JobBook, JobRequest
+from cuminstack.claims import LeaseLost as LeaseRanOut
+from cuminstack.core import Instance, InstanceId, JobId
+from cuminstack.jobs import (
+    JobBook,
+    JobEnded,
+    JobOutcome,
+    JobRequest,
+    Outcome,
+    Refused,
+)
 from cuminstack.membership import Membership, Standing
 from cuminstack.node._intake import (
     ClaimHeld,
+    ClaimSettled,
     ClaimTaken,
     ClaimUnavailable,
     TakeClaim,
@@ -29,16 +33,25 @@
 from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.node._sheets import NeverInForce
 
-#: Separates a key from the number of the run that the claim is for; it
-#: stands in no key.
-_RUN_SEPARATOR: Final = '#'
+#: Outcomes larger than this are kept by the accepting instance only, in bytes.
+_RECORDED_BYTES: Final = 65_536
+
+#: Pause before the lease of an instance that is gone is asked for again, in
+#: seconds; it runs out by itself.
+_RETRY_SECONDS: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Retry:
+    request: JobRequest
+    due: float
 
 
 class ClaimDesk:
     """Takes the claim on each job that may be resent, before it starts.
 
-    The claim on an idempotent job whose holder is gone is followed by the
-    claim on its next run, so that of several resends one runs it anew.
+    A job that is not idempotent gets a claim, which is for ever its
+    holder's; an idempotent one a lease, which passes on once it ran out.
 
     Args:
         own: This instance.
@@ -60,10 +73,45 @@
         self._book = book
         self._membership = membership
         self._requests: dict[JobId, JobRequest] = {}
+        self._retries: dict[JobId, _Retry] = {}
+        self._leased: set[JobId] = set()
+
+    def may_start(self, job: JobId, *, now: float) -> bool:
+        """Tell whether this instance may still start tasks of a job.
+
+        Asked just before each start, so that an instance that was paused
+        past its lease starts nothing more.
+        """
+        return job not in self._leased or self._claims.holds_lease(
+            job,
+            now=now,
+        )
+
+    def settle(self, ended: JobEnded) -> None:
+        """Record the outcome of a job that was claimed or leased here."""
+        self._leased.discard(ended.job)
+        if isinstance(ended.outcome, Refused):
+            # Nothing has run, so the key is free again.
+            self._claims.release_lease(ended.job)
+            return
+        outcome = wire.encode(JobOutcome.of(ended.job, ended.outcome))
+        if len(outcome) <= _RECORDED_BYTES:
+            self._claims.record_outcome(ended.job, outcome)
+        else:
+            self._claims.release_lease(ended.job)
 
     def tick(self, *, now: float) -> Effects:
-        """Resend, give up and expire what is due."""
-        return self._claims.tick(now=now)
+        """Resend, renew, give up and expire what is due."""
+        due = [
+            retry.request
+            for retry in self._retries.values()
+            if retry.due <= now
+        ]
+        effects = [self._claims.tick(now=now)]
+        for request in due:
+            self._retries.pop(request.job)
+            effects.append(self._claim(request, now=now))
+        return tuple(each for group in effects for each in group)
 
     @on_effect(NeverInForce)
     def _never_in_force(self, _: NeverInForce, *, now: float) -> Effects:
@@ -79,6 +127,18 @@
         request = self._requests.pop(effect.job, None)
         return () if request is None else (ClaimTaken(request),)
 
+    @on_effect(Leased)
+    def _leased_to_us(self, effect: Leased, *, now: float) -> Effects:
+        request = self._requests.pop(effect.job, None)
+        if request is None:
+            return ()
+        self._leased.add(effect.job)
+        return (ClaimTaken(replace(request, run=effect.generation - 1)),)
+
+    @on_effect(LeaseRanOut)
+    def _lease_ran_out(self, effect: LeaseRanOut, *, now: float) -> Effects:
+        return self._book.lose_lease(effect.job, now=now)
+
     @on_effect(NoMajority)
     def _no_majority(self, effect: NoMajority, *, now: float) -> Effects:
         request = self._requests.pop(effect.job, None)
@@ -89,18 +149,17 @@
         request = self._requests.pop(effect.job, None)
         if request is None:
             return ()
+        if effect.outcome is not None:
+            return (self._settled(request, effect, effect.outcome),)
         if self._is_own(effect):
             return (self._claimed_before(request, effect),)
         is_gone = self._is_gone(effect.holder, effect.incarnation)
-        same = effect.body_digest == request.digest
-        if is_gone and same and request.idempotent:
-            return self._claim(
-                replace(request, run=request.run + 1),
-                now=now,
-            )
-        return (self._held(request, effect, gone=is_gone),)
-
-    @on_message(Handover, Outcomes, Prepare, Propose, Pull, Recorded, Vote)
+        if is_gone and request.idempotent:
+            self._retries[request.job] = _Retry(request, now + _RETRY_SECONDS)
+            return ()
+        return (_held(request, effect, gone=is_gone),)
+
+    @on_message(*wire.messages_of('claims'))
     def _receive(
         self,
         sender: InstanceId,
@@ -111,9 +170,10 @@
         return self._claims.receive(sender, message, now=now)
 
     def _claim(self, request: JobRequest, *, now: float) -> Effects:
-        claimed = claimed_job(request)
-        self._requests[claimed] = request
-        return self._claims.claim(claimed, request.digest, now=now)
+        self._requests[request.job] = request
+        if request.idempotent:
+            return self._claims.lease(request.job, request.digest, now=now)
+        return self._claims.claim(request.job, request.digest, now=now)
 
     def _is_gone(self, holder: InstanceId, incarnation: int) -> bool:
         record = self._membership.record_of(holder)
@@ -137,28 +197,39 @@
         if effect.body_digest == request.digest and kept is not None:
             if may_run_again(kept.outcome):
                 return ClaimTaken(request)
-        return self._held(request, effect, gone=True)
+        return _held(request, effect, gone=True)
 
-    def _held(
+    def _settled(
         self,
         request: JobRequest,
         effect: AlreadyClaimed,
-        *,
-        gone: bool,
-    ) -> ClaimHeld:
-        return ClaimHeld(
-            request=request,
-            holder=effect.holder,
-            incarnation=effect.incarnation,
-            digest=effect.body_digest,
-            gone=gone,
-        )
-
-
-def claimed_job(request: JobRequest) -> JobId:
-    """Give the id that the claim on a run of a job is taken under."""
-    job = request.job
-    if not request.run:
-        return job
-    key = JobKey(f'{job.key}{_RUN_SEPARATOR}{request.run}')
-    return JobId(job.member, key)
+        recorded: bytes,
+    ) -> ClaimSettled | ClaimHeld:
+        outcome = _decode(recorded)
+        if outcome is None:
+            return _held(request, effect, gone=True)
+        return ClaimSettled(request, effect.body_digest, outcome)
+
+
+def _decode(recorded: bytes) -> Outcome | None:
+    """Read a recorded outcome; none if another version wrote it."""
+    try:
+        message = wire.decode(recorded)
+    except wire.BadFrame:
+        return None
+    return message.outcome if isinstance(message, JobOutcome) else None
+
+
+def _held(
+    request: JobRequest,
+    effect: AlreadyClaimed,
+    *,
+    gone: bool,
+) -> ClaimHeld:
+    return ClaimHeld(
+        request=request,
+        holder=effect.holder,
+        incarnation=effect.incarnation,
+        digest=effect.body_digest,
+        gone=gone,
+    )
--- a/src/cuminstack/node/_dispatch.py
+++ b/src/cuminstack/node/_dispatch.py
@@ -14,6 +14,7 @@
     StartEnd,
     Withdraw,
 )
+from cuminstack.node._claims import ClaimDesk
 from cuminstack.node._health import HealthDesk
 from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.slots import Policy
@@ -26,8 +27,11 @@
         self,
         book: JobBook,
         policy: Policy,
+        *,
         health: HealthDesk,
+        claims: ClaimDesk,
     ) -> None:
+        self._claims = claims
         self._book = book
         self._health = health
         self._policy = policy
@@ -75,6 +79,10 @@
 
     @on_effect(StartTask)
     def _start(self, effect: StartTask, *, now: float) -> Effects:
+        job = effect.task.job
+        if not self._claims.may_start(job, now=now):
+            freed = FreeSlot(effect.task, effect.endpoint, started=False)
+            return (freed, *self._book.lose_lease(job, now=now))
         effects = self._book.start(effect.task, effect.endpoint, now=now)
         return tuple(self._note(each, now=now) for each in effects)
 
--- a/src/cuminstack/node/_endpoints.py
+++ b/src/cuminstack/node/_endpoints.py
@@ -88,9 +88,26 @@
         effects = self._publish(taken, now=now)
         return AnnounceReply(owner), effects
 
-    def observe_instances(self, routable: tuple[Instance, ...]) -> None:
-        """Take the instances that can be reached now, this one included."""
+    def observe_instances(
+        self,
+        routable: tuple[Instance, ...],
+        *,
+        now: float,
+    ) -> Effects:
+        """Take the instances that can be reached now, this one included.
+
+        Endpoints that become this instance's are adopted at once, as if they
+        had just announced themselves; silence still ends their lease.
+        """
         self._routable = routable
+        owned = {record.endpoint for record in self._owned.records}
+        groups = [
+            self.announce(record, now=now)[1]
+            for record in self._directory.records
+            if record.endpoint not in owned
+            and self.owner_of(record).instance == self._own.instance
+        ]
+        return tuple(each for group in groups for each in group)
 
     def tick(self, *, now: float) -> Effects:
         """Drop silent endpoints, and those that another owner lists."""
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -1,6 +1,6 @@
 """From a submission to a job in progress, here or at another instance."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from cuminstack.core import Instance, InstanceId, JobId, Send
@@ -67,6 +67,21 @@
     gone: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimSettled:
+    """The job has ended, and its outcome was recorded with its claim.
+
+    Args:
+        request: The submission that came here.
+        digest: Of the submission that the claim was taken for.
+        outcome: The recorded outcome.
+    """
+
+    request: JobRequest
+    digest: bytes
+    outcome: Outcome
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimUnavailable:
     """No majority of the claim's replicas answered in time."""
@@ -184,7 +199,7 @@
 
     @on_effect(ClaimTaken)
     def _claim_taken(self, effect: ClaimTaken, *, now: float) -> Effects:
-        # The claim may be on a later run than the one that was asked for.
+        # It says which run of the job this is.
         request = effect.request
         if self._claiming.pop(request.job, None) is None:
             return ()
@@ -208,6 +223,15 @@
         )
         return (JobEnded(request.job, refused),)
 
+    @on_effect(ClaimSettled)
+    def _claim_settled(self, effect: ClaimSettled, *, now: float) -> Effects:
+        request = self._claiming.pop(effect.request.job, None)
+        if request is None:
+            return ()
+        if effect.digest != request.digest:
+            return (JobEnded(request.job, _CONFLICT),)
+        return (JobEnded(request.job, effect.outcome),)
+
     @on_effect(ClaimHeld)
     def _claim_held(self, effect: ClaimHeld, *, now: float) -> Effects:
         request = self._claiming.pop(effect.request.job, None)
@@ -282,9 +306,8 @@
         self._forwarded.pop(request.job)
         if not request.idempotent:
             return JobEnded(request.job, _HOLDER_GONE)
-        again = replace(request, run=request.run + 1)
-        self._claiming[request.job] = again
-        return TakeClaim(again)
+        self._claiming[request.job] = request
+        return TakeClaim(request)
 
     def _known(
         self,
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -113,7 +113,6 @@
         self._membership = Membership(own, parts.peers, timing=options.timing)
         self._admission = parts.admission
         self._health = HealthDesk(parts.policy, self._admission)
-        self._dispatch = DispatchDesk(self._book, parts.policy, self._health)
         self._sheets = SheetDesk(
             parts.register,
             parts.spread,
@@ -132,6 +131,12 @@
             book=self._book,
             membership=self._membership,
         )
+        self._dispatch = DispatchDesk(
+            self._book,
+            parts.policy,
+            health=self._health,
+            claims=self._claims,
+        )
         self._peers = self._make_peers(parts.policy)
         self._lookups = LookupDesk(self._book, self._intake.knows)
         self._router = Router(_OUTWARD)
@@ -341,4 +346,5 @@
         for effect in outward:
             if isinstance(effect, JobEnded):
                 told.extend(self._intake.settle(effect, now=now))
+                self._claims.settle(effect)
         return (*outward, *told) if told else outward
--- a/src/cuminstack/node/_peers.py
+++ b/src/cuminstack/node/_peers.py
@@ -23,6 +23,10 @@
 _COMPARE_SECONDS: Final = 0.5
 
 
+#: Time that the next owners of endpoints have to list them, in seconds.
+_ADOPTION_SECONDS: Final = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class RoutableChanged:
     """The instances that work may be sent to are others than before.
@@ -68,6 +72,7 @@
         self._policy = policy
         self._sheets = sheets
         self._advertised: dict[InstanceId, int] = {}
+        self._departed: dict[InstanceId, float] = {}
         self._alive: frozenset[tuple[InstanceId, int]] = frozenset()
         self._routable: frozenset[InstanceId] = frozenset()
         self._compared_at = float('-inf')
@@ -99,7 +104,11 @@
         if now - self._compared_at < _COMPARE_SECONDS:
             return effects
         self._compared_at = now
-        return (*effects, *self._compare_all(now=now))
+        return (
+            *effects,
+            *self._forget_departed(now=now),
+            *self._compare_all(now=now),
+        )
 
     @on_message(Heartbeat, Records)
     def _receive(
@@ -134,11 +143,12 @@
             (peer.instance, peer.incarnation) for peer in effect.alive
         )
         effects: list[Effects] = [
-            self._forget(name, now=now)
-            for name, _ in sorted(self._alive - alive)
+            self._lose(name, now=now) for name, _ in sorted(self._alive - alive)
         ]
         self._alive = alive
-        self._endpoints.observe_instances(effect.routable)
+        effects.append(
+            self._endpoints.observe_instances(effect.routable, now=now),
+        )
         routable = frozenset(peer.instance for peer in effect.routable)
         lost = tuple(sorted(self._routable - routable))
         self._routable = routable
@@ -149,13 +159,25 @@
             RoutableChanged(effect.routable, lost),
         )
 
-    def _forget(self, name: InstanceId, *, now: float) -> Effects:
-        """End what depends on a process that is gone."""
+    def _lose(self, name: InstanceId, *, now: float) -> Effects:
+        """End what depends on a process that is gone.
+
+        Its table is kept until the next owners have had time to list the
+        endpoints as theirs.
+        """
         self._advertised.pop(name, None)
-        return (
-            *self._directory.forget_owner(name),
-            *self._intake.holder_gone(name, now=now),
-        )
+        self._departed[name] = now + _ADOPTION_SECONDS
+        return self._intake.holder_gone(name, now=now)
+
+    def _forget_departed(self, *, now: float) -> Effects:
+        alive = {name for name, _ in self._alive}
+        due = [name for name, until in self._departed.items() if until <= now]
+        groups: list[Effects] = []
+        for name in due:
+            self._departed.pop(name)
+            if name not in alive:
+                groups.append(self._directory.forget_owner(name))
+        return tuple(each for group in groups for each in group)
 
     def _compare_all(self, *, now: float) -> Effects:
         groups = [self._compare(name, now=now) for name in self._advertised]
