--- a/src/cuminstack/register/_proposer.py
+++ b/src/cuminstack/register/_proposer.py
@@ -126,7 +126,7 @@
         was_lost = attempt.is_lost
         sends = attempt.receive(sender, reply)
         if attempt.is_lost and not was_lost:
-            self._back_off(now)
+            return (*sends, *self._begin_again(attempt, now))
         return (*sends, *self._finish(attempt, now))
 
     def _fetched(self, reply: Fetched, now: float) -> Effects:
@@ -164,12 +164,16 @@
         self._again_at = now + _RESEND_SECONDS
         return attempts[-1].remind()
 
-    def _back_off(self, now: float) -> None:
-        if not self._queue:
-            return
+    def _begin_again(self, attempt: Attempt, now: float) -> Effects:
+        """Begin a new ballot, at once if the first one was only too low."""
+        if not self._queue or attempt is not self._queue[0].attempts[-1]:
+            return ()
         lost = len(self._queue[0].attempts) - 1
+        if not lost:
+            return self._begin(now)
         pause = min(_BACK_OFF_SECONDS * 2**lost, _MAX_BACK_OFF_SECONDS)
         self._again_at = now + pause * (_MIN_JITTER + self._chance.random())
+        return ()
 
     def _expire(self, now: float) -> Effects:
         effects: list[Done] = []
