Let a restarted replica vote only when both views' replicas handed over

Cause: during a view change the code asked for the replicas that the claimant named, the specification for those of every group that the replica is in. Change: the replicas of its own view count, too; a test of a restart while another instance stays down.

--- a/src/cuminstack/claims/_replica.py
+++ b/src/cuminstack/claims/_replica.py
@@ -41,6 +41,7 @@
         now: float,
     ) -> None:
         limits = Limits() if limits is None else limits
+        self._view = view
         self._floor = view.number
         self._store = Store(limits)
         self._catch_up = CatchUp(
@@ -193,12 +194,19 @@
         self._floor = max(self._floor, request.number)
         if request.number < self._floor - 1:
             return Answer.stale_view
-        if not self._catch_up.may_vote(request.voters):
+        if not self._may_vote(request):
             return Answer.not_ready
         if self._store.is_full and self._store.get(request.job) is None:
             return Answer.full
         return None
 
+    def _may_vote(self, request: Propose | Prepare) -> bool:
+        """Tell whether all replicas of the job in either view handed over."""
+        if self._catch_up.is_whole:
+            return True
+        own_voters = self._view.voters(request.job)
+        return self._catch_up.may_vote({*request.voters, *own_voters})
+
     def _vote(
         self,
         to: InstanceId,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -324,6 +324,27 @@
         deployment.check_once()
         assert deployment.claimed == [(late, make_job('j'))]
 
+    def test_restart_while_another_is_gone(self, nine: ClaimDeployment) -> None:
+        jobs = [f'j{number}' for number in range(100)]
+        voters = {key: replicas(make_job(key), NINE.instances) for key in jobs}
+        mine = [key for key in jobs if 'a1' in voters[key]]
+        apart = next(key for key in mine if 'c3' not in voters[key])
+        shared = next(key for key in mine if 'c3' in voters[key])
+        nine.kill('c3')
+        nine.run(0.1)
+        nine.kill('a1')
+        nine.start('a1', NINE)
+        nine.run(3)
+        assert not nine.parts['a1'].is_whole
+        nine.claim('a2', shared)
+        nine.run(3)
+        assert is_given_up(nine.last('a2'))
+        third = next(name for name in voters[apart] if name[0] == 'c')
+        nine.kill(third)
+        nine.claim('a2', apart)
+        nine.run(1)
+        assert nine.last('a2') == Claimed(make_job(apart))
+
     def test_many_claims_are_handed_over_in_pages(
         self,
         three: ClaimDeployment,
