--- a/bench/_slope.py
+++ b/bench/_slope.py
@@ -3,7 +3,7 @@
 import gc
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
@@ -52,9 +52,7 @@
         largest = max(abs(got) for _, got in self.points)
         if not largest:
             return 0
-        return max(
-            abs(got - self._at(at)) / largest for at, got in self.points
-        )
+        return max(abs(got - self._at(at)) / largest for at, got in self.points)
 
     def _at(self, count: float) -> float:
         return self.base + self.slope * count
@@ -67,6 +65,18 @@
         )
 
 
+def line(
+    name: str,
+    per: str,
+    unit: str,
+    counts: Iterable[int],
+    cost: Callable[[int], float],
+) -> Slope:
+    """Measure a cost at some counts; see `Slope`."""
+    points = tuple((count, cost(count)) for count in counts)
+    return Slope(name, per, unit, points)
+
+
 Measure = Callable[[], tuple[Slope, ...]]
 _Decorated = TypeVar('_Decorated', bound=Callable[..., Any])
 measures: Final[dict[str, Measure]] = {}
--- a/bench/_slopes_daemon.py
+++ b/bench/_slopes_daemon.py
@@ -132,7 +132,9 @@
         sent = await _spent(deployment, _sent_by(deployment))
         memory = [one.child.memory_mb for one in deployment.instances]
     share = _REST_SECONDS * len(memory)
-    return Rest(used / share * _PERCENT, sum(memory) / len(memory), sent / share)
+    return Rest(
+        used / share * _PERCENT, sum(memory) / len(memory), sent / share
+    )
 
 
 _Gauge = Callable[[DeployedInstance], Awaitable[float]]
@@ -155,10 +157,11 @@
         url = f'{instance.endpoints_url}/v1/histograms'
         async with deployment.http.get(url) as response:
             body = await response.json()
-        return sum(
+        sizes: list[int] = [
             entry['size']
             for entry in body['messages']
             if entry['direction'] == 'sent'
-        )
+        ]
+        return sum(sizes)
 
     return sent
--- a/bench/_slopes_endpoints.py
+++ b/bench/_slopes_endpoints.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from bench._slope import Slope, measure, microseconds, retained_bytes
+from bench._slope import Slope, line, measure, microseconds, retained_bytes
 from cuminstack import wire
 from cuminstack.core import (
     EndpointId,
@@ -24,6 +24,8 @@
 _ENDPOINTS: Final = (450, 900, 1800)
 _CHANGED: Final = (1, 10, 100)
 _ROUNDS: Final = 20
+#: Endpoints of a rack.
+_RACK: Final = 8
 _OWNER: Final = InstanceId('telavi-1')
 _ORDERS: Final = ServiceRef(MemberName('tkemali'), ServiceName('order-desk'))
 _LEASE_SECONDS: Final = 5.0
@@ -31,11 +33,12 @@
 
 def record(index: int, *, busy: int = 0) -> EndpointRecord:
     """Give the record of an endpoint of the users' size."""
+    rack, place = divmod(index, _RACK)
     return EndpointRecord(
-        endpoint=EndpointId(f'rack-{index // 8}-worker-{index}'),
+        endpoint=EndpointId(f'rack-{rack}-worker-{index}'),
         incarnation=1_764_826_429_000 + index,
         zone=ZoneName('telavi'),
-        url=f'http://10.1.{index // 250}.{index % 250}:9000',
+        url=f'http://10.1.{rack}.{place}:9000',
         serves=(_ORDERS,),
         slots=8,
         connections=64,
@@ -48,27 +51,28 @@
 def endpoint_slopes() -> tuple[Slope, ...]:
     """Keep, look up, announce and spread endpoints."""
     return (
-        _slope('memory of the directory', 'B', _memory),
-        _slope('find the endpoints of a service', 'us', _lookup),
-        _slope('read a whole table', 'us', _read_whole),
-        _slope('frame of a whole table', 'B', _whole_bytes),
-        Slope(
-            'frame of changes',
-            'changed endpoint',
-            'B',
-            tuple((count, _delta_bytes(count)) for count in _CHANGED),
-        ),
-        _slope('look for leases that ran out', 'us', _expiry),
-        _slope('renew every lease, without HTTP', 'us', _renewal),
+        *_directory_slopes(),
+        *_owner_slopes(),
+        line('frame of changes', 'endpoint', 'B', _CHANGED, _delta_bytes),
     )
 
 
-def _slope(name: str, unit: str, cost: '_Cost') -> Slope:
-    points = tuple((count, cost(count)) for count in _ENDPOINTS)
-    return Slope(name, 'endpoint', unit, points)
+def _directory_slopes() -> tuple[Slope, ...]:
+    per = 'endpoint'
+    return (
+        line('memory of the directory', per, 'B', _ENDPOINTS, _memory),
+        line('find those of a service', per, 'us', _ENDPOINTS, _lookup),
+        line('read a whole table', per, 'us', _ENDPOINTS, _read_whole),
+        line('frame of a whole table', per, 'B', _ENDPOINTS, _whole_bytes),
+    )
 
 
-_Cost = type(lambda count: 0)
+def _owner_slopes() -> tuple[Slope, ...]:
+    per = 'endpoint'
+    return (
+        line('look for leases run out', per, 'us', _ENDPOINTS, _expiry),
+        line('renew leases, no HTTP', per, 'us', _ENDPOINTS, _renewal),
+    )
 
 
 def _records(count: int) -> tuple[EndpointRecord, ...]:
--- a/bench/_slopes_jobs.py
+++ b/bench/_slopes_jobs.py
@@ -1,9 +1,8 @@
 """Slopes of jobs, claims and metrics: per task, per claim, per service."""
 
-from collections.abc import Callable
 from typing import Final
 
-from bench._slope import Slope, measure, microseconds, retained_bytes
+from bench._slope import Slope, line, measure, microseconds, retained_bytes
 from cuminstack import wire
 from cuminstack.claims import Claims, ClaimView
 from cuminstack.core import (
@@ -36,9 +35,9 @@
 def job_slopes() -> tuple[Slope, ...]:
     """Keep and carry out jobs of several sizes, without input or output."""
     return (
-        _line('memory of a running job', 'task', 'B', _TASKS, _job_bytes),
-        _line('open and start a job', 'task', 'us', _TASKS, _job_cost),
-        _line('histograms', 'service', 'B', _SERVICES, _histogram_bytes),
+        line('memory of a running job', 'task', 'B', _TASKS, _job_bytes),
+        line('open and start a job', 'task', 'us', _TASKS, _job_cost),
+        line('histograms', 'service', 'B', _SERVICES, _histogram_bytes),
     )
 
 
@@ -46,23 +45,12 @@
 def claim_slopes() -> tuple[Slope, ...]:
     """Take claims on three replicas, every frame encoded and decoded."""
     return (
-        _line('memory of claims', 'claim', 'B', _CLAIMS, _claim_bytes),
-        _line('take claims, all three', 'claim', 'us', _CLAIMS, _claim_cost),
-        _line('frames of claims', 'claim', 'B', _CLAIMS, _claim_frames),
+        line('memory of claims', 'claim', 'B', _CLAIMS, _claim_bytes),
+        line('take claims, all three', 'claim', 'us', _CLAIMS, _claim_cost),
+        line('frames of claims', 'claim', 'B', _CLAIMS, _claim_frames),
     )
 
 
-def _line(
-    name: str,
-    per: str,
-    unit: str,
-    counts: tuple[int, ...],
-    cost: Callable[[int], float],
-) -> Slope:
-    points = tuple((count, cost(count)) for count in counts)
-    return Slope(name, per, unit, points)
-
-
 def _request(tasks: int) -> JobRequest:
     return JobRequest(
         job=JobId(_MEMBER, JobKey('order-12345')),
@@ -83,7 +71,7 @@
     job = book.find(request.job)
     assert job is not None
     for queued in job.queued():
-        book.start(queued.task, _ENDPOINT, expected=1, now=0)
+        book.start(queued.task, _ENDPOINT, now=0)
     return book
 
 
--- a/bench/_slopes_membership.py
+++ b/bench/_slopes_membership.py
@@ -41,18 +41,24 @@
 def instances(zones: int, each: int) -> tuple[Instance, ...]:
     """Give instances with names and addresses of common length."""
     return tuple(
-        Instance(
-            InstanceId(f'zone-{zone:02}-{number:02}'),
-            ZoneName(f'zone-{zone:02}'),
-            1,
-            f'10.0.{zone}.{number}:8003',
-            f'10.0.{zone}.{number}:8002',
-        )
+        _instance(zone, number)
         for zone in range(zones)
         for number in range(each)
     )
 
 
+def _instance(zone: int, number: int) -> Instance:
+    name = f'zone-{zone}'
+    address = f'10.0.{zone}.{number}'
+    return Instance(
+        InstanceId(f'{name}-{number}'),
+        ZoneName(name),
+        1,
+        f'{address}:8003',
+        f'{address}:8002',
+    )
+
+
 class Mesh:
     """Instances that run the failure detector, all frames arriving."""
 
@@ -129,13 +135,15 @@
 
 
 def _memory_slope() -> Slope:
-    points = []
-    for zones, each in _SPARSE_EACH:
-        members = instances(zones, each)
-        used, _ = retained_bytes(lambda m=members: _settled(m))
-        # All instances are in this one process, so each has its share.
-        points.append((len(members), used / len(members)))
-    return Slope('memory of membership', 'instance', 'B', tuple(points))
+    groups = [instances(zones, each) for zones, each in _SPARSE_EACH]
+    points = tuple((len(group), _memory(group)) for group in groups)
+    return Slope('memory of membership', 'instance', 'B', points)
+
+
+def _memory(members: Sequence[Instance]) -> float:
+    used, _ = retained_bytes(lambda: _settled(members))
+    # All instances are in this one process, so each has its share.
+    return used / len(members)
 
 
 def _settled(members: Sequence[Instance]) -> Mesh:
--- a/bench/_slopes_sheet.py
+++ b/bench/_slopes_sheet.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from bench._slope import Slope, measure, microseconds, retained_bytes
+from bench._slope import Slope, line, measure, microseconds, retained_bytes
 from cuminstack import sheet as sheets
 from cuminstack import wire
 from cuminstack.core import InstanceId
@@ -17,16 +17,18 @@
 
 def sheet_text(members: int, *, version: int = 1, changed: int = 0) -> bytes:
     """Write a sheet of some members, the first `changed` of other shares."""
-    rows = [f'sheet,{version},{version - 1}']
+    based_on = version - 1
+    rows = [f'sheet,{version},{based_on}']
     for index in range(members):
-        name = f'team-{index:04}'
+        name = f'team-{index}'
         share = 3 if index < changed else 2
         rows += [
             f'member,{name},{share},128,5000',
             f'service,{name},order-desk,30000,250,response',
             f'claim,{name},order-desk,16,32768,0',
         ]
-    return '\n'.join([*rows, '']).encode()
+    rows.append('')
+    return '\n'.join(rows).encode()
 
 
 def read(text: bytes) -> Sheet:
@@ -39,36 +41,28 @@
 @measure('sheet')
 def sheet_slopes() -> tuple[Slope, ...]:
     """Parse, keep, compare and apply sheets of several sizes."""
-    texts = {count: sheet_text(count) for count in _MEMBERS}
     return (
-        _per_member('text of a sheet', 'B', {k: len(v) for k, v in texts.items()}),
-        _per_member(
-            'parse a sheet',
-            'us',
-            {
-                count: microseconds(lambda t=text: read(t), rounds=_ROUNDS)
-                for count, text in texts.items()
-            },
-        ),
-        _per_member(
-            'memory of a sheet',
-            'B',
-            {
-                count: retained_bytes(lambda t=text: read(t))[0]
-                for count, text in texts.items()
-            },
-        ),
-        _per_member(
-            'apply one changed row',
-            'us',
-            {count: _apply_cost(count) for count in _MEMBERS},
-        ),
-        _delta_slope(),
+        line('text of a sheet', 'member', 'B', _MEMBERS, _text_bytes),
+        line('parse a sheet', 'member', 'us', _MEMBERS, _parse_cost),
+        line('memory of a sheet', 'member', 'B', _MEMBERS, _memory),
+        line('apply one changed row', 'member', 'us', _MEMBERS, _apply_cost),
+        line('frame of a change', 'row', 'B', _CHANGED, _frame_bytes),
     )
 
 
-def _per_member(name: str, unit: str, got: dict[int, float]) -> Slope:
-    return Slope(name, 'member', unit, tuple(got.items()))
+def _text_bytes(members: int) -> float:
+    return len(sheet_text(members))
+
+
+def _parse_cost(members: int) -> float:
+    text = sheet_text(members)
+    return microseconds(lambda: read(text), rounds=_ROUNDS)
+
+
+def _memory(members: int) -> float:
+    text = sheet_text(members)
+    used, _ = retained_bytes(lambda: read(text))
+    return used
 
 
 def _apply_cost(members: int) -> float:
@@ -78,11 +72,7 @@
     return microseconds(lambda: apply_delta(old, delta), rounds=_ROUNDS)
 
 
-def _delta_slope() -> Slope:
+def _frame_bytes(changed: int) -> float:
     old = read(sheet_text(_MEMBERS[-1]))
-    points = []
-    for changed in _CHANGED:
-        new = read(sheet_text(_MEMBERS[-1], version=2, changed=changed))
-        push = Push(InstanceId('telavi-1'), diff(old, new))
-        points.append((changed, len(wire.encode(push))))
-    return Slope('frame of a change', 'changed row', 'B', tuple(points))
+    new = read(sheet_text(_MEMBERS[-1], version=2, changed=changed))
+    return len(wire.encode(Push(InstanceId('telavi-1'), diff(old, new))))
--- a/bench/_slopes_slots.py
+++ b/bench/_slopes_slots.py
@@ -1,9 +1,11 @@
 """Slopes of the dispatch policy: per endpoint known, and per task."""
 
+from dataclasses import replace
 from typing import Final
 
-from bench._slope import Slope, measure, microseconds, retained_bytes
+from bench._slope import Slope, line, measure, microseconds, retained_bytes
 from bench._slopes_endpoints import record
+from bench._slopes_membership import instances
 from cuminstack.core import (
     Instance,
     InstanceId,
@@ -22,7 +24,10 @@
 _MEMBERS: Final = (100, 390, 780)
 _POLICY: Final = 'leases'
 _TICK_ROUNDS: Final = 50
-_TASKS: Final = 400
+#: As many tasks as one owner of the deployment has slots, or fewer.
+_TASKS: Final = 80
+#: Zones and instances of each, at the size to design for.
+_DEPLOYMENT: Final = (13, 8)
 _MEMBER: Final = MemberName('tkemali')
 _SERVICE: Final = ServiceRef(_MEMBER, ServiceName('order-desk'))
 _OWN: Final = Instance(
@@ -37,39 +42,53 @@
 @measure('slots')
 def slot_slopes() -> tuple[Slope, ...]:
     """Keep endpoints and members, look for what is due, and start tasks."""
-    memory = tuple((count, _memory(count)) for count in _ENDPOINTS)
-    ticks = tuple((count, _tick(count)) for count in _ENDPOINTS)
-    starts = tuple((count, _start(count)) for count in _ENDPOINTS)
-    terms = tuple((count, _terms(count)) for count in _MEMBERS)
     return (
-        Slope('memory of the policy', 'endpoint', 'B', memory),
-        Slope('a tick of the policy', 'endpoint', 'us', ticks),
-        Slope('queue, start and finish', 'endpoint', 'us/task', starts),
-        Slope('apply the terms', 'member', 'us', terms),
+        *_endpoint_slopes('owned endpoint', ()),
+        *_endpoint_slopes('known endpoint', instances(*_DEPLOYMENT)),
+        line('apply the terms', 'member', 'us', _MEMBERS, _terms),
     )
 
 
-def _policy(endpoints: int) -> Policy:
-    made = make_policy(_POLICY, _OWN, seed=1)
-    made.observe_instances((_OWN,), now=0)
+def _endpoint_slopes(
+    per: str,
+    peers: tuple[Instance, ...],
+) -> tuple[Slope, ...]:
+    """Measure an instance alone, or one among peers that own the rest."""
+
+    def memory(count: int) -> float:  # noqa: WPS430
+        used, _ = retained_bytes(lambda: _policy(count, peers))
+        return used
+
+    def tick(count: int) -> float:  # noqa: WPS430
+        return _tick(_policy(count, peers))
+
+    def start(count: int) -> float:  # noqa: WPS430
+        return _start(_policy(count, peers))
+
+    return (
+        line('memory of the policy', per, 'B', _ENDPOINTS, memory),
+        line('a tick of the policy', per, 'us', _ENDPOINTS, tick),
+        line('queue, start, finish', per, 'us/task', _ENDPOINTS, start),
+    )
+
+
+def _policy(endpoints: int, peers: tuple[Instance, ...] = ()) -> Policy:
+    own = peers[0] if peers else _OWN
+    made = make_policy(_POLICY, own, seed=1)
+    made.observe_instances(peers or (own,), now=0)
     made.apply_terms({_MEMBER: MemberTerms()}, now=0)
+    zones = [each.zone for each in peers] or [own.zone]
     for index in range(endpoints):
-        made.observe_endpoint(record(index), now=0)
+        zone = zones[index % len(zones)]
+        made.observe_endpoint(replace(record(index), zone=zone), now=0)
     return made
 
 
-def _memory(endpoints: int) -> float:
-    used, _ = retained_bytes(lambda: _policy(endpoints))
-    return used
-
-
-def _tick(endpoints: int) -> float:
-    made = _policy(endpoints)
+def _tick(made: Policy) -> float:
     return microseconds(lambda: made.tick(now=1), rounds=_TICK_ROUNDS)
 
 
-def _start(endpoints: int) -> float:
-    made = _policy(endpoints)
+def _start(made: Policy) -> float:
     cost = microseconds(lambda: _run_tasks(made), rounds=1)
     return cost / _TASKS
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,10 +21,11 @@
     _slopes_slots,
 )
 from bench._slope import Slope, measures
-from cuminstack.cli import render_table
+from cuminstack.cli import Row, render_table
 
 _HEADERS: Final = ('what', 'unit', 'per', 'slope', 'base', 'misfit', 'points')
-_PERCENT: Final = 100
+
+_FIGURE: Final = '{:.4g}'
 
 #: Modules that register measures.
 _MODULES: Final = (
@@ -44,26 +45,23 @@
     parser.add_argument('--json', type=Path, help='file for the figures')
     given = parser.parse_args(arguments)
     slopes = [
-        slope
-        for name in given.names or measures
-        for slope in measures[name]()
+        slope for name in given.names or measures for slope in measures[name]()
     ]
     print(render_table(_HEADERS, map(_row, slopes)))
     if given.json is not None:
         given.json.write_bytes(msgspec.json.encode(slopes))
 
 
-def _row(slope: Slope) -> tuple[str, ...]:
-    points = '  '.join(f'{at:g}:{got:.4g}' for at, got in slope.points)
-    return (
-        slope.name,
-        slope.unit,
-        slope.per,
-        f'{slope.slope:.4g}',
-        f'{slope.base:.4g}',
-        f'{slope.misfit * _PERCENT:.0f}%',
-        points,
-    )
+def _row(slope: Slope) -> Row:
+    points = [_point(*point) for point in slope.points]
+    figures = (slope.slope, slope.base, slope.misfit)
+    rounded = map(_FIGURE.format, figures)
+    return (slope.name, slope.unit, slope.per, *rounded, '  '.join(points))
+
+
+def _point(count: float, cost: float) -> str:
+    shown = _FIGURE.format(cost)
+    return f'{count:g}:{shown}'
 
 
 if __name__ == '__main__':
--- a/src/cuminstack/cli/__init__.py
+++ b/src/cuminstack/cli/__init__.py
@@ -2,7 +2,7 @@
 
 from cuminstack.cli._exit import ExitCode
 from cuminstack.cli._program import main, run
-from cuminstack.cli._tables import render_table
+from cuminstack.cli._tables import Row, render_table
 from cuminstack.cli._views import render
 
-__all__ = ('ExitCode', 'main', 'render', 'render_table', 'run')
+__all__ = ('ExitCode', 'Row', 'main', 'render', 'render_table', 'run')
