--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -5,7 +5,6 @@
 
 from cuminstack.core import Instance, InstanceId, JobId, Send
 from cuminstack.jobs import (
-    AskJob,
     CancelJob,
     Failed,
     FailureReason,
@@ -14,8 +13,6 @@
     JobEnded,
     JobOutcome,
     JobRequest,
-    JobRunning,
-    JobUnknown,
     Outcome,
     RefusalReason,
     Refused,
@@ -127,10 +124,10 @@
         known = self._known(request)
         if known is not None:
             return known
+        request = self._gate.complete(request)
         refusal = self._refusal(request, now=now)
         if refusal is not None:
             return refusal, ()
-        request = self._gate.complete(request)
         if request.minted:
             return None, self._book.open(request, now=now)
         self._claiming[request.job] = request
@@ -273,23 +270,9 @@
     ) -> Effects:
         return self.cancel(message.job, now=now)
 
-    @on_message(AskJob)
-    def _receive_ask(
-        self,
-        sender: InstanceId,
-        message: AskJob,
-        *,
-        now: float,
-    ) -> Effects:
-        kept = self._book.ended(message.job)
-        if kept is not None:
-            return (Send(sender, JobOutcome.of(message.job, kept.outcome)),)
-        if self.knows(message.job):
-            return (Send(sender, JobRunning(message.job)),)
-        return (Send(sender, JobUnknown(message.job)),)
-
-    def tell_peers(self, ended: JobEnded) -> Effects:
-        """Send an outcome to the instances that forwarded the job here."""
+    def settle(self, ended: JobEnded, *, now: float) -> Effects:
+        """Take the end of a job; tell the instances that forwarded it."""
+        self._gate.release(ended, now=now)
         peers = self._waiting_peers.pop(ended.job, set())
         message = JobOutcome.of(ended.job, ended.outcome)
         return tuple(Send(peer, message) for peer in sorted(peers))
