--- a/bench/_report.py
+++ b/bench/_report.py
@@ -52,6 +52,7 @@
         name: What was run.
         seed: Seed of the workload.
         outcomes: Jobs by kind of outcome.
+        problems: Jobs that were not answered, by HTTP status and problem.
         ratios: Of the complete jobs.
         bound: Of the same jobs in an omniscient central queue.
         messages_per_task: Messages that a task caused.
@@ -65,6 +66,7 @@
     name: str
     seed: int
     outcomes: dict[str, int]
+    problems: dict[str, int]
     ratios: Ratios
     bound: Ratios
     messages_per_task: float
@@ -98,6 +100,7 @@
     return Figures(
         name=name,
         seed=seed,
+        problems=dict(Counter(one.problem for one in chosen if one.problem)),
         outcomes=dict(Counter(one.told.kind.value for one in chosen)),
         ratios=Ratios.of([one.ratio for one in chosen if one.complete]),
         bound=_bound(run.samples, chosen, slots),
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -22,12 +22,15 @@
         told: What its caller was told.
         response: From its planned arrival to its outcome, in seconds.
         lag: How late the generator sent it, in seconds.
+        problem: Status and type of the problem that it got instead of
+            answers; empty if none.
     """
 
     job: Job
     told: Told
     response: float
     lag: float
+    problem: str = ''
 
     @property
     def ratio(self) -> float:
@@ -102,7 +105,9 @@
     lag = clock() - planned
     submission = _submission(job)
     reply = await caller.submit(choose(), submission)
-    return Sample(job, submission.told(reply), clock() - planned, lag)
+    response = clock() - planned
+    problem = f'{reply.status} {reply.problem}' if reply.failed else ''
+    return Sample(job, submission.told(reply), response, lag, problem)
 
 
 def _submission(job: Job) -> Submission:
--- a/bench/caller.py
+++ b/bench/caller.py
@@ -49,6 +49,11 @@
             OutcomeKind.unanswered,
         )
 
+    @property
+    def failed(self) -> bool:
+        """Tell whether there are no answers."""
+        return self.kind is not OutcomeKind.complete
+
     @property
     def answers(self) -> Sequence[Any]:
         """Give the answers; none unless the outcome is *complete*."""
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -17,7 +17,14 @@
 from bench._report import Ratios, figures
 from bench._run import Run, run_jobs
 from bench.arrivals import Job, Stream
-from bench.deployment import SHEET, Deployment, DeploymentOptions
+from bench.caller import Caller, Submission
+from bench.deployment import (
+    SHEET,
+    DeployedInstance,
+    Deployment,
+    DeploymentOptions,
+)
+from bench.oracle import OutcomeKind
 
 #: The demo ends itself after this many seconds.
 _LONGEST_SECONDS: Final = 55.0
@@ -48,6 +55,9 @@
 _SETTLE_SECONDS: Final = 2.0
 _TOOL_SECONDS: Final = 10.0
 
+#: Run time of the tasks whose answers are printed, in milliseconds.
+_SHOWN_MS: Final = 60
+
 
 class DemoFailed(Exception):
     """Something was not as promised."""
@@ -62,6 +72,7 @@
     _say('Starting 9 daemons and 6 endpoints in 3 availability zones.')
     async with Deployment(_OPTIONS) as deployment:
         await _submit_sheet(deployment)
+        await _show_answers(deployment)
         await _round(deployment, 'all is well', 1)
         await _kill_one(deployment)
         await _round(deployment, 'one daemon killed', 2)
@@ -85,6 +96,37 @@
     _expect(code == 0, 'the sheet is accepted')
 
 
+async def _show_answers(deployment: Deployment) -> None:
+    caller = Caller(deployment.http)
+    entries = deployment.instances[::2]
+    await asyncio.gather(
+        *(
+            _show_answer(caller, entry, stream)
+            for entry, stream in zip(entries, _STREAMS, strict=False)
+        ),
+    )
+
+
+async def _show_answer(
+    caller: Caller,
+    entry: DeployedInstance,
+    stream: Stream,
+) -> None:
+    job = Submission(
+        member=stream.member,
+        service=stream.service,
+        key=f'answers-{stream.tasks}',
+        run_ms=(_SHOWN_MS,) * stream.tasks,
+    )
+    reply = await caller.submit(entry.callers_url, job)
+    _expect(job.told(reply).whole, 'an answer is whole')
+    _expect(reply.kind is OutcomeKind.complete, 'a job is complete')
+    name = entry.plan.name
+    first, last = reply.answers[0], reply.answers[-1]
+    count = len(reply.answers)
+    _say(f'{stream.member} through {name}: {count} answers, {first} … {last}')
+
+
 async def _round(deployment: Deployment, name: str, number: int) -> None:
     run = await run_jobs(deployment, _jobs(number), seed=number)
     _say(f'\n{name}:')
