--- a/src/cuminstack/core/_names.py
+++ b/src/cuminstack/core/_names.py
@@ -53,8 +53,8 @@
 class TaskId:
     """One attempt at one task of a job.
 
-    `attempt` counts from 1 and grows only when the attempt before it
-    provably did not start.
+    `attempt` grows only when the attempt before it provably did not start;
+    no two runs of a job share a number.
     """
 
     job: JobId
--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -1,10 +1,11 @@
 """All jobs that one instance accepted."""
 
+import hashlib
 from collections import Counter
 from dataclasses import dataclass
 from typing import Final
 
-from cuminstack.core import EndpointId, JobId, MemberName, TaskId
+from cuminstack.core import EndpointId, Instance, JobId, MemberName, TaskId
 from cuminstack.jobs._job import Job, TaskState
 from cuminstack.jobs._outcomes import KeptOutcome, OutcomeStore
 from cuminstack.jobs._types import (
@@ -27,6 +28,10 @@
 #: Least number of such attempts that every job is allowed.
 _LEAST_RETRIES: Final = 8
 
+#: Bytes of the number of a run, and attempts that each run has numbers for.
+_RUN_BYTES: Final = 5
+_ATTEMPTS_PER_RUN: Final = 100_000
+
 #: Longest time that an endpoint may hold a start back, in seconds.
 _START_WITHIN_SECONDS: Final = 2.0
 
@@ -45,10 +50,13 @@
     """Decides every start of the jobs that were accepted here.
 
     Args:
+        own: This instance.
         outcomes: Where ended jobs are kept for resends.
     """
 
-    def __init__(self, outcomes: OutcomeStore) -> None:
+    def __init__(self, own: Instance, outcomes: OutcomeStore) -> None:
+        self._own = own
+        self._opened = 0
         self._outcomes = outcomes
         self._running: dict[JobId, Job] = {}
         self._queued: Counter[MemberName] = Counter()
@@ -83,7 +91,12 @@
 
     def open(self, request: JobRequest, *, now: float) -> JobEffects:
         """Take a job on; its key must be neither running nor kept."""
-        job = Job(request, accepted_at=now)
+        self._opened += 1
+        job = Job(
+            request,
+            accepted_at=now,
+            first_attempt=_first_attempt(self._own, self._opened),
+        )
         self._running[request.job] = job
         self._queued[request.job.member] += len(request.tasks)
         return (Queue(job.queued()),)
@@ -256,3 +269,14 @@
         self._running.pop(request.job)
         self._outcomes.put(request.job, job.outcome, request.digest, now=now)
         return (JobEnded(request.job, job.outcome),)
+
+
+def _first_attempt(own: Instance, serial: int) -> int:
+    """Number the attempts of a run, so that no two runs share a number.
+
+    A job may run again after it was refused, or at another instance; its
+    endpoints may still know the task ids of the run before.
+    """
+    run = f'{own.instance} {own.incarnation} {serial}'
+    digest = hashlib.blake2b(run.encode(), digest_size=_RUN_BYTES).digest()
+    return int.from_bytes(digest) * _ATTEMPTS_PER_RUN + 1
--- a/src/cuminstack/jobs/_job.py
+++ b/src/cuminstack/jobs/_job.py
@@ -25,7 +25,6 @@
 from cuminstack.slots import QueuedTask
 
 _FIRST_ATTEMPT: Final = 1
-_ATTEMPTS_PER_RUN: Final = 1_000_000
 
 
 class TaskState(enum.Enum):
@@ -54,14 +53,19 @@
     Args:
         request: What was asked for.
         accepted_at: Present time, in seconds.
+        first_attempt: Number of the first attempt at each task.
     """
 
-    def __init__(self, request: JobRequest, *, accepted_at: float) -> None:
+    def __init__(
+        self,
+        request: JobRequest,
+        *,
+        accepted_at: float,
+        first_attempt: int = _FIRST_ATTEMPT,
+    ) -> None:
         self._request = request
         self._deadline = accepted_at + request.within
-        # Attempts of different runs have different numbers.
-        first = _FIRST_ATTEMPT + request.run * _ATTEMPTS_PER_RUN
-        self._lives = [TaskLife(attempt=first) for _ in request.tasks]
+        self._lives = [TaskLife(attempt=first_attempt) for _ in request.tasks]
         self._unanswered = len(request.tasks)
         self._retries = 0
         self._outcome: Outcome | None = None
--- a/src/cuminstack/jobs/_types.py
+++ b/src/cuminstack/jobs/_types.py
@@ -43,8 +43,6 @@
             under the same key.
         minted: Whether the key was made here, so that no resend can be
             under way at another instance.
-        run: Counts the runs of an idempotent job whose earlier holders are
-            gone, from 0.
     """
 
     job: JobId
@@ -54,7 +52,6 @@
     within: float
     digest: bytes
     minted: bool = False
-    run: int = 0
 
 
 class RefusalReason(enum.Enum):
--- a/src/cuminstack/node/_claims.py
+++ b/src/cuminstack/node/_claims.py
@@ -1,6 +1,6 @@
 """Claims and leases of jobs, between the intake and the claim replicas."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from cuminstack import wire
@@ -133,7 +133,7 @@
         if request is None:
             return ()
         self._leased.add(effect.job)
-        return (ClaimTaken(replace(request, run=effect.generation - 1)),)
+        return (ClaimTaken(request),)
 
     @on_effect(LeaseRanOut)
     def _lease_ran_out(self, effect: LeaseRanOut, *, now: float) -> Effects:
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -199,9 +199,8 @@
 
     @on_effect(ClaimTaken)
     def _claim_taken(self, effect: ClaimTaken, *, now: float) -> Effects:
-        # It says which run of the job this is.
-        request = effect.request
-        if self._claiming.pop(request.job, None) is None:
+        request = self._claiming.pop(effect.request.job, None)
+        if request is None:
             return ()
         return self._book.open(request, now=now)
 
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -108,7 +108,7 @@
         self._own = own
         self._options = options
         self._policy = parts.policy
-        self._book = JobBook(outcomes)
+        self._book = JobBook(own, outcomes)
         self._directory = Directory()
         self._membership = Membership(own, parts.peers, timing=options.timing)
         self._admission = parts.admission
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -4,12 +4,15 @@
 
 from cuminstack.core import (
     EndpointId,
+    Instance,
+    InstanceId,
     JobId,
     JobKey,
     MemberName,
     ServiceName,
     ServiceRef,
     TaskId,
+    ZoneName,
 )
 from cuminstack.jobs import (
     Complete,
@@ -32,6 +35,7 @@
 
 JOB = JobId(MemberName('tkemali'), JobKey('order-1'))
 SERVICE = ServiceRef(MemberName('tkemali'), ServiceName('order-desk'))
+OWN = Instance(InstanceId('a1'), ZoneName('a'), 1, '127.0.0.1:1', '127.0.0.1:2')
 ENDPOINT = EndpointId('e1')
 
 
@@ -46,16 +50,13 @@
     )
 
 
-def task(index: int, attempt: int = 1) -> TaskId:
-    return TaskId(JOB, index, attempt)
-
-
 class Book:
     """A job book, its clock, and the effects of each kind so far."""
 
     def __init__(self, max_bytes: int = 10_000) -> None:
         outcomes = OutcomeStore(lifetime=60, max_bytes=max_bytes)
-        self.book = JobBook(outcomes)
+        self.book = JobBook(OWN, outcomes)
+        self.first = 0
         self.now = 100.0
         self.effects: list[Any] = []
 
@@ -63,10 +64,12 @@
         self.effects.extend(
             self.book.open(request(tasks, within), now=self.now),
         )
+        # Attempts are counted from 1 in these tests.
+        self.first = self.of(Queue)[-1].tasks[0].task.attempt - 1
 
     def start(self, index: int, attempt: int = 1) -> None:
         effects = self.book.start(
-            task(index, attempt),
+            self.task(index, attempt),
             ENDPOINT,
             now=self.now,
         )
@@ -80,7 +83,7 @@
         answer: bytes = b'',
     ) -> None:
         effects = self.book.finish(
-            task(index, attempt),
+            self.task(index, attempt),
             ENDPOINT,
             end,
             answer=answer,
@@ -88,6 +91,9 @@
         )
         self.effects.extend(effects)
 
+    def task(self, index: int, attempt: int = 1) -> TaskId:
+        return TaskId(JOB, index, self.first + attempt)
+
     def of(self, kind: type[Any]) -> list[Any]:
         return [each for each in self.effects if isinstance(each, kind)]
 
@@ -132,7 +138,7 @@
         book.start(0)
         book.start(0)
         assert len(book.of(SendStart)) == 1
-        assert book.of(FreeSlot) == [FreeSlot(task(0), ENDPOINT, False)]
+        assert book.of(FreeSlot) == [FreeSlot(book.task(0), ENDPOINT, False)]
 
     def test_not_started_is_tried_again(self) -> None:
         book = Book()
@@ -140,7 +146,7 @@
         book.start(0)
         book.finish(0, StartEnd.not_started)
         again = book.of(Queue)[-1].tasks[0].task
-        assert again == task(0, 2)
+        assert again == book.task(0, 2)
         book.start(0, 2)
         book.finish(0, StartEnd.answered, 2, b'1')
         assert book.outcome == Complete((b'1',))
@@ -152,7 +158,7 @@
         book.start(1)
         book.finish(0, StartEnd.unknown)
         assert book.outcome.reason is FailureReason.task_unknown
-        assert book.of(StopStarted) == [StopStarted(ENDPOINT, (task(1),))]
+        assert book.of(StopStarted) == [StopStarted(ENDPOINT, (book.task(1),))]
         assert len(book.of(SendStart)) == 2
 
     def test_bound_on_retries(self) -> None:
@@ -182,7 +188,7 @@
         book.open()
         book.effects.extend(book.book.cancel(JOB, now=book.now))
         assert isinstance(book.outcome, Refused)
-        assert book.of(Withdraw) == [Withdraw((task(0), task(1)))]
+        assert book.of(Withdraw) == [Withdraw((book.task(0), book.task(1)))]
 
     def test_failed_after_a_start(self) -> None:
         book = Book()
@@ -220,6 +226,18 @@
         assert book.book.queued_of(JOB.member) == 0
 
 
+class TestRuns:
+    """A job that runs again shares no task id with its earlier run."""
+
+    def test_attempts_differ(self) -> None:
+        book = Book()
+        book.open(1)
+        first = book.task(0)
+        book.effects.extend(book.book.cancel(JOB, now=book.now))
+        book.open(1)
+        assert book.task(0) != first
+
+
 class TestOutcomes:
     """Outcomes are kept within bounds, and never turn into a new run."""
 
