--- a/bench/register.py
+++ b/bench/register.py
@@ -34,13 +34,23 @@
     encode_state,
     starting_state,
 )
-from cuminstack.sheet import Member, Preference, Service, Sheet
+from cuminstack.sheet import (  # noqa: WPS347
+    Member,
+    Preference,
+    Service,
+    Sheet,
+    apply_delta,
+    diff,
+    parse,
+    whole,
+)
 from cuminstack.spread import Apply, Spread, SpreadMessage
 from cuminstack.store import DurableFile, Saved
 
 _SEED: Final = 4
 _MEMBERS: Final = 780
 _SERVICES_EACH: Final = 2
+_MANY_SERVICES: Final = 7
 _COMMITS: Final = 60
 _MISSED: Final = 500
 _INSTANCES: Final = 9
@@ -53,20 +63,23 @@
 _ZONES: Final = ('telavi', 'gurjaani', 'sighnaghi')
 
 
-def make_sheet(version: int, members: int = _MEMBERS) -> Sheet:
+def make_sheet(
+    version: int,
+    members: int = _MEMBERS,
+    *,
+    services: int = _SERVICES_EACH,
+) -> Sheet:
     """Make a sheet in which each version changes two rows."""
     rows: list[Member] = []
-    services: list[Service] = []
+    offered: list[Service] = []
     for index in range(members):
-        name: Any = f'member-{index:04}'
+        name: Any = f'member-{index}'
         share = 2 if index == version % members else 1
         rows.append(Member(name, share, 128, 5000))
-        for service in range(_SERVICES_EACH):
+        for service in range(services):
             key: Any = f'service-{service}'
-            services.append(
-                Service(name, key, 30_000, 250, Preference.response)
-            )
-    return Sheet(version, version - 1, tuple(rows), tuple(services))
+            offered.append(Service(name, key, 30_000, 250, Preference.response))
+    return Sheet(version, version - 1, tuple(rows), tuple(offered))
 
 
 @dataclass(order=True)
@@ -287,6 +300,32 @@
     return f'{name}: p50 {middle} ms, p99 {high} ms'
 
 
+def _sheets() -> None:
+    """Time what is done with one sheet of the largest size in use."""
+    text = make_sheet(1, _MEMBERS, services=_MANY_SERVICES).canonical
+    old = _timed('check', partial(parse, text))
+    new = _timed('check of the next', partial(parse, _next_text(text)))
+    assert isinstance(old, Sheet)
+    assert isinstance(new, Sheet)
+    _timed('canonical text and digest', lambda: new.digest)
+    delta = _timed('difference, no records shared', partial(diff, old, new))
+    _timed('apply it', partial(apply_delta, old, delta))
+    _timed('apply it as a whole', partial(apply_delta, old, whole(new)))
+
+
+def _next_text(text: bytes) -> bytes:
+    changed = text.replace(b'member-7,1,', b'member-7,3,')
+    return changed.replace(b'sheet,1,0', b'sheet,2,1')
+
+
+def _timed(what: str, run: Callable[[], Any]) -> Any:
+    begun = time.perf_counter()
+    found = run()
+    spent = time.perf_counter() - begun
+    print(what, round(spent * _MILLISECONDS, 1), 'ms')
+    return found
+
+
 def _changes(deployment: Deployment) -> None:
     """Submit at the instances in turn."""
     done: list[float] = []
@@ -345,6 +384,7 @@
 
 def main() -> None:
     """Print the tables."""
+    _sheets()
     with tempfile.TemporaryDirectory() as folder:
         _phases(Path(folder) / 'phases')
         deployment = Deployment(Path(folder))
--- a/src/cuminstack/register/_attempt.py
+++ b/src/cuminstack/register/_attempt.py
@@ -20,7 +20,12 @@
 )
 from cuminstack.register._promises import Promises
 from cuminstack.register._resolve import Resolution
-from cuminstack.register._values import EMPTY_VALUE, Value, make_transfer
+from cuminstack.register._values import (
+    EMPTY_VALUE,
+    Transfer,
+    Value,
+    make_transfer,
+)
 
 Sends = tuple[Send, ...]
 Reply = Promise | Accepted | Refused
@@ -60,8 +65,10 @@
         self._accepted: set[InstanceId] = set()
         self._refused: set[InstanceId] = set()
         self._exposed: set[InstanceId] = set()
+        self._got_whole: set[InstanceId] = set()
         self._current = EMPTY_VALUE
         self._resolution: Resolution | None = None
+        self._transfers: dict[bytes, Transfer] = {}
 
     @property
     def phase(self) -> Phase:
@@ -187,10 +194,17 @@
         request = Accept(
             ballot=self.ballot,
             replica_set=self._set_stamp,
-            transfer=make_transfer(base, resolution.value),
+            transfer=self._transfer(base, resolution.value),
         )
         return (Send(replica, request),)
 
+    def _transfer(self, base: Value, value: Value) -> Transfer:
+        transfer = self._transfers.get(base.stamp)
+        if transfer is None:
+            transfer = make_transfer(base, value)
+            self._transfers[base.stamp] = transfer
+        return transfer
+
     def _holds_already(self, promise: Promise) -> bool:
         """Tell whether a settled, unchanged value is at a replica."""
         unchanged = self._resolution is not None and (
@@ -200,7 +214,9 @@
         return unchanged and settled and promise.stamp == self._current.stamp
 
     def _take_refusal(self, sender: InstanceId, refused: Refused) -> Sends:
-        if refused.refusal is Refusal.unknown_base:
+        is_unknown = refused.refusal is Refusal.unknown_base
+        if is_unknown and sender not in self._got_whole:
+            self._got_whole.add(sender)
             return self._accept_at(sender, whole=True)
         self._refused.add(sender)
         if refused.accepting and refused.refusal is Refusal.promised:
--- a/src/cuminstack/sheet/_delta.py
+++ b/src/cuminstack/sheet/_delta.py
@@ -61,10 +61,12 @@
 
 def diff(old: Sheet, new: Sheet) -> SheetDelta:
     """Give what makes a new sheet of an old one."""
-    before = {record.key: record for record in old.records}
-    after = {record.key: record for record in new.records}
+    before = old.by_key
+    after = new.by_key
     changed = (
-        record for key, record in after.items() if before.get(key) != record
+        record.row
+        for key, record in after.items()
+        if _is_changed(before.get(key), record)
     )
     return SheetDelta(
         old_version=old.version,
@@ -73,7 +75,7 @@
         based_on=new.based_on,
         digest=new.digest,
         removed=tuple(sorted(before.keys() - after.keys())),
-        rows=tuple(record.row for record in changed),
+        rows=tuple(changed),
     )
 
 
@@ -87,7 +89,7 @@
     base = EMPTY_SHEET if delta.is_whole else old
     if base.digest != delta.old_digest:
         return DeltaMismatch(delta.old_digest, base.digest)
-    records = {record.key: record for record in base.records}
+    records = dict(base.by_key)
     for key in delta.removed:
         records.pop(key, None)
     for record in _read_rows(delta.rows):
@@ -117,6 +119,13 @@
     )
 
 
+def _is_changed(before: Record | None, after: Record) -> bool:
+    # Sheets share the records that a difference between them left alone.
+    if before is after:
+        return False
+    return before is None or before.row != after.row
+
+
 def _read_rows(rows: Iterable[str]) -> Iterable[Record]:
     for cells in csv.reader(rows):
         kind = find_kind(cells[0]) if cells else None
--- a/src/cuminstack/sheet/_records.py
+++ b/src/cuminstack/sheet/_records.py
@@ -2,7 +2,7 @@
 
 import enum
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import cached_property
 from typing import Final
@@ -173,7 +173,8 @@
     def canonical(self) -> bytes:
         """The one canonical CSV text of it."""
         rows = [Header(self.version, self.based_on).row]
-        rows.extend(record.row for record in self.records)
+        for records in (self.members, self.services, self.claims):
+            rows.extend(each.row for each in sorted(records, key=_order))
         rows.append('')
         return '\n'.join(rows).encode()
 
@@ -182,6 +183,11 @@
         """SHA-256 of the canonical text."""
         return hashlib.sha256(self.canonical).digest()
 
+    @cached_property
+    def by_key(self) -> Mapping[str, Record]:
+        """All records but the header, by what tells them apart."""
+        return {record.key: record for record in self.records}
+
     def member(self, name: MemberName) -> Member | None:
         """Find a member."""
         return self._members.get(name)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -13,6 +13,7 @@
     Conflict,
     InForce,
     NoQuorum,
+    OtherReplicaSet,
     Persist,
     Prepare,
     Refused,
@@ -21,6 +22,7 @@
     Standing,
     encode_state,
     set_stamp,
+    starting_state,
 )
 from fakes_network import Disk, Network, Packet, make_sheet
 
@@ -319,6 +321,48 @@
         # The one that has its disk must not be outvoted by empty ones.
         assert _votes(network) == [False, False, True]
 
+    def test_all_disks_lost_never_goes_back(self) -> None:
+        network = _ready()
+        for version in (1, 2, 3):
+            sheet = make_sheet(version, version - 1)
+            network.commit(network.names[0], sheet)
+        network.run(1)
+        for victim in network.replicas:
+            network.lose_disk(victim)
+        for victim in network.replicas:
+            network.start(victim)
+        network.run(2)
+        one, two, *_ = network.names
+        outcome = network.commit(one, make_sheet(2, 0, 'b'))
+        assert outcome == Stale(2, 0, 3)
+        outcome = network.commit(two, make_sheet(4, 0, 'b'))
+        assert isinstance(outcome, InForce)
+        network.run(1)
+        for process in network.processes.values():
+            assert process.spread.sheet.version == 4
+
+    def test_all_files_damaged(self) -> None:
+        network = _ready(3, 0)
+        network.commit(network.names[0], make_sheet(1, 0))
+        for name in network.names:
+            network.crash(name)
+            network.disks[name].damaged = True
+        for name in network.names:
+            network.start(name)
+        network.run(5)
+        assert not any(_votes(network))
+
+    def test_other_replica_set(self) -> None:
+        network = _ready()
+        record = network.disks[network.names[0]].record
+        found = starting_state(
+            network.replicas[:2], incarnation=1, record=record
+        )
+        assert found == OtherReplicaSet(network.replicas)
+        torn = starting_state(network.replicas, incarnation=1, record=b'x')
+        assert isinstance(torn, AcceptorState)
+        assert torn.standing is Standing.recovering
+
     def test_full_disk_stops_the_vote_only(self) -> None:
         network = _ready()
         one, two, *_ = network.names
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -1,5 +1,7 @@
 """The operators' sheet."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -76,6 +78,11 @@
         sheet = _sheet(_GOOD)
         assert _sheet(sheets.render(sheet)) == sheet
 
+    def test_order_of_records_makes_no_difference(self) -> None:
+        sheet = _sheet(_GOOD)
+        backwards = replace(sheet, members=tuple(reversed(sheet.members)))
+        assert sheets.digest(backwards) == sheets.digest(sheet)
+
     def test_large(self) -> None:
         rows = ['sheet,1,0']
         rows += [f'member,m{index},1,0,10' for index in range(780)]
