Have a lone replica wait for a claim's lifetime after a start

Cause: with no other instance configured, catching up was done at once, so a single instance that restarted granted claims that it had granted before. Change: nobody can hand over to a lone replica; it votes once the lifetime has passed or the deployment is known to be fresh. Two tests used a lone replica that had never been declared fresh, which was the fault itself; they declare it now and check the same. Cases for one and two replicas, and the case of two later ballots with a restart, which fits since promises are dropped. Conclusion: the code follows the rule of the design for one instance, too.

--- a/spec/claims_cases.py
+++ b/spec/claims_cases.py
@@ -8,6 +8,8 @@
 from spec.claims_state import Claimant, Group, Rules, voters
 
 _GROUP: Final[Group] = (0, 1, 2)
+_LONE: Final[Group] = (0,)
+_PAIR: Final[Group] = (0, 1)
 _NEXT: Final[Group] = (2, 3, 4)
 _OVERLAPPING: Final[Group] = (1, 2, 3)
 
@@ -73,6 +75,11 @@
         _spec(_later('A', 2), _later('B', 1)),
         quick=False,
     ),
+    Case(
+        'two later ballots, one restart',
+        _spec(_later('A', 2), _later('B', 1), restarts=1),
+        quick=False,
+    ),
     Case(
         'three claimants, two restarts',
         _spec(_first('A'), _first('B'), _first('C'), restarts=2),
@@ -83,6 +90,14 @@
         _spec(_first('A'), _later('B', 1), restarts=2),
         quick=False,
     ),
+    Case(
+        'lone replica, two restarts',
+        _spec(_first('A', _LONE), _first('B', _LONE), restarts=2),
+    ),
+    Case(
+        'two replicas, two restarts',
+        _spec(_first('A', _PAIR), _later('B', 1, _PAIR), restarts=2),
+    ),
     Case(
         'former view, joint view',
         _spec(
--- a/src/cuminstack/claims/_catchup.py
+++ b/src/cuminstack/claims/_catchup.py
@@ -63,7 +63,7 @@
         self._others = view.members - {own.instance}
         self._handed: dict[InstanceId, _Fitness] = {}
         self._requests: dict[InstanceId, _Request] = {}
-        self._whole = not self._others
+        self._whole = False
 
     @property
     def is_whole(self) -> bool:
@@ -85,13 +85,17 @@
         self._whole = True
 
     def may_vote(self, voters: Iterable[InstanceId]) -> bool:
-        """Tell whether this replica is fit to vote among these."""
+        """Tell whether this replica is fit to vote among these.
+
+        Nobody can hand over to a lone replica, so that one must wait.
+        """
         if self._whole:
             return True
         group = frozenset(voters)
-        return all(
+        others = group - {self._own.instance}
+        return bool(others) and all(
             name in self._handed and self._handed[name].covers(group - {name})
-            for name in group - {self._own.instance}
+            for name in others
         )
 
     def tick(self, *, now: float) -> tuple[Send, ...]:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -242,6 +242,7 @@
             limits=Limits(jobs=1),
             now=0,
         )
+        claims.assume_fresh()
         claims.claim(make_job('j1'), b'', now=0)
         assert not claims.claim(make_job('j2'), b'', now=0)
         expected = NoMajority(make_job('j2'), (Answer.full,))
@@ -345,6 +346,20 @@
         nine.run(1)
         assert nine.last('a2') == Claimed(make_job(apart))
 
+    def test_lone_replica_waits_for_the_lifetime(self) -> None:
+        view = ClaimView(1, make_instances(1, 1))
+        lone = ClaimDeployment(view)
+        lone.claim('a1', 'j')
+        lone.kill('a1')
+        lone.start('a1', view)
+        lone.claim('a1', 'j')
+        lone.run(3)
+        assert is_given_up(lone.last('a1'))
+        lone.check_once()
+        lone.run(LIMITS.lifetime, step=0.5)
+        lone.claim('a1', 'k')
+        assert lone.last('a1') == Claimed(make_job('k'))
+
     def test_many_claims_are_handed_over_in_pages(
         self,
         three: ClaimDeployment,
@@ -379,6 +394,7 @@
             limits=Limits(outcome_bytes=3),
             now=0,
         )
+        claims.assume_fresh()
         claims.claim(make_job('j'), b'', now=0)
         claims.record_outcome(make_job('j'), b'long')
         claims.tick(now=1)
