Let members choose between response and waste, and lend a spare slot

Change: an ask for one slot takes a second from an instance with plenty; MemberTerms.preference chooses between wide and narrow asks.

--- a/bench/policies/_tables.py
+++ b/bench/policies/_tables.py
@@ -26,7 +26,7 @@
             (
                 _percent(each.case.load),
                 str(each.case.tasks),
-                each.case.policy,
+                each.case.name,
                 str(each.jobs),
                 _shown(each.response),
                 _shown(each.bound),
@@ -48,7 +48,7 @@
             (
                 _percent(each.case.load),
                 str(each.case.tasks),
-                each.case.policy,
+                each.case.name,
                 _listed(each.messages, 1),
                 _listed(each.waste, 100),
                 str(each.twice),
--- a/src/cuminstack/slots/_borrowing.py
+++ b/src/cuminstack/slots/_borrowing.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil
+from types import MappingProxyType
 from typing import Final
 
 from cuminstack.core import InstanceId
 from cuminstack.slots._demand import WANT_SECONDS
 from cuminstack.slots._hints import Hints
+from cuminstack.slots._policy import Preference
 
 #: Until an ask without a reply is thought lost, in seconds.
 _REPLY_SECONDS: Final = 0.1
@@ -15,12 +17,30 @@
 _STAND_SECONDS: Final = WANT_SECONDS
 #: Until an instance that had too little is asked anew, in seconds.
 _DRY_SECONDS: Final = 0.05
-#: Slots asked for by asks that stand, for each one that is missing.
-_SPREAD: Final = 1.5
-#: Instances at which an ask stands at least.
-_LEAST_STANDS: Final = 2
-#: Free slots that an instance must be thought to hold to be asked.
-_WORTH_ASKING: Final = 1
+#: Free slots that are asked for beyond those that are missing.
+_SPARE: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Style:
+    """How eagerly to ask.
+
+    Args:
+        spread: Slots asked for by asks that stand, for each one missing.
+        stands: Instances at which an ask stands at least.
+        worth: Free slots that an instance must be thought to hold.
+    """
+
+    spread: float
+    stands: int
+    worth: float
+
+
+_EAGER: Final = _Style(spread=3 / 2, stands=2, worth=1)
+_SPARING: Final = _Style(spread=1, stands=1, worth=5 / 2)
+_STYLES: Final = MappingProxyType(
+    {Preference.response: _EAGER, Preference.waste: _SPARING},
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +50,7 @@
     peer: InstanceId
     count: int
     stands: bool
+    spare: int = 0
 
 
 @dataclass(slots=True)
@@ -58,6 +79,7 @@
 
     def __init__(self, hints: Hints) -> None:
         self._hints = hints
+        self._style = _STYLES[Preference.response]
         self._asked: dict[InstanceId, _Asked] = {}
         self._dry: dict[InstanceId, float] = {}
 
@@ -71,6 +93,10 @@
             peer: asked for peer, asked in self._asked.items() if peer in living
         }
 
+    def prefer(self, preference: Preference) -> None:
+        """Ask as the member prefers."""
+        self._style = _STYLES[preference]
+
     def choose(
         self,
         peers: Iterable[InstanceId],
@@ -96,7 +122,9 @@
         awaited = self._awaited(stands=False)
         requests = self._probe(ready, count - awaited, now)
         if not requests and not awaited:
-            requests = self._stand(ready, _SPREAD * count, running, now)
+            requests = self._stand(
+                ready, self._style.spread * count, running, now
+            )
         for request in requests:
             asked = _Asked(now, request.count, request.stands)
             self._asked[request.peer] = asked
@@ -158,10 +186,12 @@
         requests: list[Request] = []
         richest = sorted(guesses, key=lambda each: (-guesses[each], each))
         for peer in richest:
-            if count <= 0 or guesses[peer] < _WORTH_ASKING:
+            if count <= 0 or guesses[peer] < self._style.worth:
                 break
             part = min(count, ceil(guesses[peer]))
-            requests.append(Request(peer, part, stands=False))
+            few = count == 1 and guesses[peer] > 2
+            spare = _SPARE if few else 0
+            requests.append(Request(peer, part, stands=False, spare=spare))
             count -= part
         return tuple(requests)
 
@@ -181,7 +211,7 @@
         requests: list[Request] = []
         busiest = sorted(busy, key=lambda each: (-busy[each], each))
         for peer in busiest:
-            few = len(requests) + len(self._asked) < _LEAST_STANDS
+            few = len(requests) + len(self._asked) < self._style.stands
             if missing <= 0 and not few:
                 break
             part = ceil(count * busy[peer] / max(1, total))
--- a/src/cuminstack/slots/_dispatcher.py
+++ b/src/cuminstack/slots/_dispatcher.py
@@ -1,7 +1,8 @@
 """Giving out free slots: to own tasks, to other instances, on request."""
 
 from collections import Counter
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
 from cuminstack.core import (
     EndpointId,
@@ -20,7 +21,8 @@
 from cuminstack.slots._ledger import GRACE_SECONDS
 from cuminstack.slots._messages import Ask, Grant, Hint
 from cuminstack.slots._placement import Placement
-from cuminstack.slots._policy import Effects
+from cuminstack.slots._policy import Effects, MemberTerms
+from cuminstack.slots._queue import TaskClass
 from cuminstack.slots._renewal import Renewal
 
 
@@ -50,6 +52,7 @@
         self.renewal = Renewal(own, self.holdings)
         self.placement = Placement(self.holdings, self.renewal.records)
         self._own = own.instance
+        self._terms: dict[str, MemberTerms] = {}
         self._borrowing: dict[MemberName, Borrowing] = {}
         self._granted: dict[_Grantee, list[SlotLease]] = {}
         self._tasks: dict[TaskId, EndpointId] = {}
@@ -60,6 +63,11 @@
         """Give when a slot was last needed here, in seconds."""
         return now if self._tasks or not self.demand.empty else self._used_at
 
+    def apply_terms(self, terms: dict[str, MemberTerms]) -> None:
+        """Take the terms of all members."""
+        self._terms = dict(terms)
+        self.demand.apply_terms(terms)
+
     def observe_view(self) -> None:
         """Forget the instances that have left the view."""
         alive = self.renewal.owners.alive
@@ -93,6 +101,7 @@
         if not ask.stands:
             self.demand.forget(sender, ask.member)
             given = self._granted.pop(_Grantee(sender, ask.member), [])
+            given.extend(self._spare(ask))
             hints = self._tell(now)
             message = Grant(ask.member, pack(given), hints, reply=True)
             reply = (Send(sender, message),)
@@ -131,6 +140,14 @@
                 self._granted.setdefault(_grantee(turn.key), []).append(lease)
         return tuple(starts)
 
+    def _spare(self, ask: Ask) -> Iterator[SlotLease]:
+        """Give free slots in advance, but not more than half of them."""
+        plenty = min(ask.spare, self.holdings.free // 2)
+        for want in ask.wanted[:plenty]:
+            lane = TaskClass(want.service, want.needs)
+            if self.placement.has_open(lane):
+                yield self.holdings.hand_on(self.placement.pick(lane))
+
     def _use(self, endpoint: EndpointId, task: TaskId) -> StartTask:
         self.holdings.use(endpoint, task)
         self.placement.count(endpoint, 1)
@@ -170,6 +187,8 @@
     ) -> tuple[Request, ...]:
         if member not in self._borrowing:
             self._borrowing[member] = Borrowing(self.hints)
+        terms = self._terms.get(member, MemberTerms())
+        self._borrowing[member].prefer(terms.preference)
         return self._borrowing[member].choose(
             self.renewal.owners.peers,
             count,
@@ -189,7 +208,7 @@
             stands=request.stands,
             now=now,
         )
-        return Send(request.peer, ask)
+        return Send(request.peer, replace(ask, spare=request.spare))
 
     def _tell(self, now: float) -> tuple[Hint, ...]:
         own = Hint(self._own, self.holdings.free, self.demand.usage.running, 0)
--- a/src/cuminstack/slots/_leases.py
+++ b/src/cuminstack/slots/_leases.py
@@ -159,7 +159,7 @@
         now: float,
     ) -> Effects:
         """Take the terms of all members, by name."""
-        self._dispatcher.demand.apply_terms(terms)
+        self._dispatcher.apply_terms(terms)
         return self._dispatcher.advance(now)
 
     def submit(
--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -105,6 +105,7 @@
         uses: What members have used through the sender.
         stands: Whether slots that are freed later are wanted too.  If so,
             there is no reply but the grants; if not, there is one at once.
+        spare: Slots wanted beyond those, if the receiver has plenty.
     """
 
     member: MemberName
@@ -112,6 +113,7 @@
     busy: int = 0
     uses: tuple[Use, ...] = ()
     stands: bool = False
+    spare: int = 0
 
 
 @wire.message('slots.grant')
--- a/src/cuminstack/slots/_policy.py
+++ b/src/cuminstack/slots/_policy.py
@@ -4,6 +4,7 @@
 object lives in each instance; the objects of a deployment talk by messages.
 """
 
+import enum
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar
@@ -41,6 +42,13 @@
     expected: float = 0
 
 
+class Preference(enum.Enum):
+    """What a member would rather have less of."""
+
+    response = 'response'
+    waste = 'waste'
+
+
 @dataclass(frozen=True, slots=True)
 class MemberTerms:
     """What the sheet grants a member.
@@ -49,10 +57,12 @@
         share: Weight of its turns against the other members'.
         max_slots: Slots that it may hold at once in the deployment; 0 for
             no bound.
+        preference: Whether waiting or messages are spared for its tasks.
     """
 
     share: float = 1
     max_slots: int = 0
+    preference: Preference = Preference.response
 
 
 class Policy(Protocol):
--- a/tests/slots_network.py
+++ b/tests/slots_network.py
@@ -47,6 +47,7 @@
     starts: Counter[tuple[Any, int]] = field(default_factory=Counter)
     done: set[tuple[Any, int]] = field(default_factory=set)
     refusals: int = 0
+    delivered: int = 0
     most: Counter[EndpointId] = field(default_factory=Counter)
     room: dict[EndpointId, int] = field(default_factory=dict)
     down: set[InstanceId] = field(default_factory=set)
@@ -151,6 +152,7 @@
         to: InstanceId,
         message: Any,
     ) -> None:
+        self.delivered += 1
         if {sender, to} & self.down or self.cut(sender, to):
             return
         policy = self.policies[to]
--- a/tests/test_slots_leases.py
+++ b/tests/test_slots_leases.py
@@ -11,7 +11,9 @@
     EndpointSlots,
     Grant,
     Hint,
+    LeasePolicy,
     MemberTerms,
+    Preference,
 )
 from slots_fixtures import BESTELL_DIENST, endpoint, instance, tasks_of
 from slots_network import Network
@@ -198,6 +200,23 @@
         network.step(25)
         assert _free(network) == 12
 
+    def test_instances_that_boot_alone_find_together(self) -> None:
+        network = _network()
+        network.policies = {
+            own.instance: LeasePolicy(own, 1) for own in network.peers
+        }
+        network.links.clear()
+        for record in network.endpoints:
+            network.announce(record)
+        assert _free(network) == 36
+        network.agree()
+        network.step(1)
+        assert _free(network) == 12
+        network.submit(_id('i0'), tasks_of('j', 30))
+        network.drain()
+        assert network.refusals == 0
+        assert not network.open_tasks()
+
     def test_zone_without_instance(self) -> None:
         network = _network(instances=2)
         network.submit(_id('i1'), tasks_of('j', 12))
@@ -320,6 +339,23 @@
         network.submit(_id('i1'), tasks_of('k', 4))
         assert len(network.running) == 6
 
+    def test_preference_for_fewer_messages(self) -> None:
+        sent = {}
+        for preference in Preference:
+            network = _network(instances=9, endpoints=9)
+            terms = {'tkemali': MemberTerms(preference=preference)}
+            for policy in network.policies.values():
+                policy.apply_terms(terms, now=0)
+            network.submit(_id('i0'), tasks_of('j', 36))
+            network.deliver()
+            network.submit(_id('i1'), tasks_of('k', 1))
+            network.step(0.1)
+            network.end_all()
+            network.deliver()
+            assert network.policies[_id('i1')].summary.busy == 1
+            sent[preference] = network.delivered
+        assert sent[Preference.waste] < sent[Preference.response]
+
     def test_hint_sends_the_ask_to_the_richest(self) -> None:
         network = _network(instances=9, endpoints=9)
         policy = network.policies[_id('i0')]
