Order jobs of other instances by their whole size, and age faster

Cause: a want names only part of a job, so the receiver took large jobs of others for small ones and let them pass older ones; and between jobs of one size the noise of run times outweighed 100 ms of age.

--- a/src/cuminstack/fairness/_orders.py
+++ b/src/cuminstack/fairness/_orders.py
@@ -11,7 +11,7 @@
 from cuminstack.fairness._records import Demand
 
 #: Slot-seconds by which one second of waiting moves a job ahead.
-AGEING_RATE: Final = 10
+AGEING_RATE: Final = 50
 
 
 class JobOrder(Protocol):
--- a/src/cuminstack/fairness/_queue.py
+++ b/src/cuminstack/fairness/_queue.py
@@ -131,6 +131,10 @@
         for name, account in self._accounts.items():
             account.elsewhere = running.get(name, 0)
 
+    def mean(self, member: str) -> float:
+        """Give the mean run time of a member's tasks, in seconds."""
+        return self._account(member).mean
+
     def running(self, member: str) -> int:
         """Tell how many slots a member holds by turns of this queue."""
         return self._account(member).running
--- a/src/cuminstack/slots/_demand.py
+++ b/src/cuminstack/slots/_demand.py
@@ -194,11 +194,33 @@
         )
         for demand in leaders:
             if count > 0:
-                wanted.append(_wanted(demand, min(count, demand.waiting), now))
+                wanted.append(self._wanted(demand, count, now))
             count -= demand.waiting
         uses = self.usage.uses(member)
         return Ask(member, tuple(wanted), self.usage.running, uses, stands)
 
+    def _wanted(
+        self,
+        demand: Demand[WaitingJob],
+        most: int,
+        now: float,
+    ) -> Wanted:
+        """Ask for part of a job, with what the rest needs as if it were had.
+
+        So the receiver orders jobs by their whole size.
+        """
+        lane = demand.key.lane
+        count = min(most, demand.waiting)
+        rest = (demand.waiting - count) * self._fair.mean(demand.member)
+        return Wanted(
+            demand.key.job,
+            lane.service,
+            lane.needs,
+            count,
+            now - demand.since,
+            demand.attained + rest,
+        )
+
     def _job_of(self, task: QueuedTask) -> WaitingJob:
         return WaitingJob(self._own, task.task.job, class_of(task))
 
@@ -240,19 +262,3 @@
 
 def _waits_at(instance: InstanceId, job: WaitingJob) -> bool:
     return job.instance == instance
-
-
-def _wanted(
-    demand: Demand[WaitingJob],
-    count: int,
-    now: float,
-) -> Wanted:
-    lane = demand.key.lane
-    return Wanted(
-        demand.key.job,
-        lane.service,
-        lane.needs,
-        count,
-        now - demand.since,
-        demand.attained,
-    )
--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -35,7 +35,7 @@
         needs: Resources of one endpoint that each must fit in.
         count: Slots wanted.
         age: Since the job arrived, in seconds.
-        attained: Slot-seconds that the job has had.
+        attained: Slot-seconds that the job has had, or needs besides.
     """
 
     job: JobId
