--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -35,7 +35,7 @@
         needs: Resources of one endpoint that each must fit in.
         count: Slots wanted.
         age: Since the job arrived, in seconds.
-        attained: Slot-seconds that the job has had.
+        attained: Slot-seconds that the job has had, or needs besides.
     """
 
     job: JobId
@@ -105,6 +105,7 @@
         uses: What members have used through the sender.
         stands: Whether slots that are freed later are wanted too.  If so,
             there is no reply but the grants; if not, there is one at once.
+        spare: Slots wanted beyond those, if the receiver has plenty.
     """
 
     member: MemberName
@@ -112,6 +113,7 @@
     busy: int = 0
     uses: tuple[Use, ...] = ()
     stands: bool = False
+    spare: int = 0
 
 
 @wire.message('slots.grant')
