--- a/bench/_slopes_jobs.py
+++ b/bench/_slopes_jobs.py
@@ -3,8 +3,9 @@
 from typing import Final
 
 from bench._slope import Slope, line, measure, microseconds, retained_bytes
+from bench._slopes_membership import instances
 from cuminstack import wire
-from cuminstack.claims import Claims, ClaimView
+from cuminstack.claims import Claims, ClaimView, replicas
 from cuminstack.core import (
     EndpointId,
     Instance,
@@ -22,6 +23,9 @@
 
 _TASKS: Final = (180, 600, 1800)
 _CLAIMS: Final = (500, 1000, 2000)
+#: Instances of three zones.
+_ZONE_SIZES: Final = (9, 27, 105)
+_CHOICES: Final = 20
 _SERVICES: Final = (100, 390, 780)
 _PAYLOAD: Final = b'{"order": 12345, "item": "quince paste", "crates": 7}'
 _MEMBER: Final = MemberName('tkemali')
@@ -48,6 +52,7 @@
         line('memory of claims', 'claim', 'B', _CLAIMS, _claim_bytes),
         line('take claims, all three', 'claim', 'us', _CLAIMS, _claim_cost),
         line('frames of claims', 'claim', 'B', _CLAIMS, _claim_frames),
+        line('choose replicas', 'instance', 'us', _ZONE_SIZES, _choice_cost),
     )
 
 
@@ -147,6 +152,13 @@
     return replicas
 
 
+def _choice_cost(size: int) -> float:
+    zones = len(_ZONES)
+    job = JobId(_MEMBER, JobKey('order-12345'))
+    members = instances(zones, size // zones)
+    return microseconds(lambda: replicas(job, members), rounds=_CHOICES)
+
+
 def _claim_bytes(count: int) -> float:
     used, _ = retained_bytes(lambda: _claimed(count))
     return used / len(_ZONES)
