Judge endpoints after failures and once a second, not after each task

Change: failures are judged after a bad sample only, slowness once a second a service, for all its endpoints in one pass.

--- a/bench/_slopes_jobs.py
+++ b/bench/_slopes_jobs.py
@@ -69,8 +69,17 @@
     )
 
 
+_OWN: Final = Instance(
+    InstanceId('telavi-1'),
+    ZoneName('telavi'),
+    1,
+    '127.0.0.1:1',
+    '127.0.0.1:2',
+)
+
+
 def _running(tasks: int) -> JobBook:
-    book = JobBook(OutcomeStore(lifetime=60, max_bytes=1))
+    book = JobBook(_OWN, OutcomeStore(lifetime=60, max_bytes=1))
     request = _request(tasks)
     book.open(request, now=0)
     job = book.find(request.job)
--- a/src/cuminstack/health/_diagnosis.py
+++ b/src/cuminstack/health/_diagnosis.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from cuminstack.core import EndpointId, ServiceRef
-from cuminstack.health._records import Failing, Slow, Symptom
+from cuminstack.health._records import Failing, Slow
 from cuminstack.health._window import Sample, Window
 
 #: Attempts, and different failed jobs, below which nothing is concluded.
@@ -43,15 +43,8 @@
         """Drop what was seen of an endpoint."""
         self._windows.pop(endpoint, None)
 
-    def symptom(
-        self,
-        endpoint: EndpointId,
-        service: ServiceRef,
-    ) -> Symptom | None:
-        """Tell what is wrong with an endpoint, if anything."""
-        return self._failing(endpoint) or self._slow(endpoint, service)
-
-    def _failing(self, endpoint: EndpointId) -> Failing | None:
+    def failing(self, endpoint: EndpointId) -> Failing | None:
+        """Tell whether an endpoint fails tasks that others don't."""
         window = self._windows.get(endpoint, Window())
         fair = [each for each in window.samples if not self._blames_job(each)]
         failed = [sample for sample in fair if sample.bad]
@@ -65,17 +58,23 @@
         places = self._failed_at.get(sample.job, set())
         return sample.bad and len(places) >= _BAD_JOB_ENDPOINTS
 
-    def _slow(
-        self,
-        endpoint: EndpointId,
-        service: ServiceRef,
-    ) -> Slow | None:
+    def slow(self, service: ServiceRef) -> dict[EndpointId, Slow]:
+        """Give the endpoints that are slow against the others of a service.
+
+        It looks at every endpoint, so it isn't for each task.
+        """
         medians = self._medians(service)
-        own = medians.pop(endpoint, None)
-        if own is None or len(medians) < _MIN_PEERS:
-            return None
-        slow = Slow(own, median(medians.values()))
-        return slow if own > slow.limit else None
+        if len(medians) <= _MIN_PEERS:
+            return {}
+        compared = {
+            endpoint: Slow(own, _median_but(medians, endpoint))
+            for endpoint, own in medians.items()
+        }
+        return {
+            endpoint: slow
+            for endpoint, slow in compared.items()
+            if slow.median > slow.limit
+        }
 
     def _medians(self, service: ServiceRef) -> dict[EndpointId, float]:
         found: Mapping[EndpointId, float | None] = {
@@ -87,3 +86,13 @@
             for endpoint, seconds in found.items()
             if seconds is not None
         }
+
+
+def _median_but(
+    medians: Mapping[EndpointId, float],
+    left_out: EndpointId,
+) -> float:
+    others = [
+        seconds for endpoint, seconds in medians.items() if endpoint != left_out
+    ]
+    return median(others)
--- a/src/cuminstack/health/_health.py
+++ b/src/cuminstack/health/_health.py
@@ -19,6 +19,8 @@
 _FIRST_PAUSE_SECONDS: Final = 2
 #: The longest such pause, after failures in a row, in seconds.
 _LONGEST_PAUSE_SECONDS: Final = 60
+#: Between two comparisons of the endpoints of a service, in seconds.
+_COMPARE_SECONDS: Final = 1
 #: Until an endpoint that came back counts as steady again, in seconds.
 _STEADY_SECONDS: Final = 60
 #: Probes to be answered in a row.
@@ -49,6 +51,7 @@
         self._pauses: dict[EndpointId, float] = {}
         self._past: dict[EndpointId, _Past] = {}
         self._limits: dict[EndpointId, int | None] = {}
+        self._compare_at: dict[ServiceRef, float] = {}
 
     @property
     def quarantined(self) -> tuple[Quarantine, ...]:
@@ -96,7 +99,7 @@
         quarantine = self._quarantines.get(endpoint)
         if quarantine is None:
             self._diagnosis.record(endpoint, sample)
-            self._judge(endpoint, service, now)
+            self._judge(endpoint, sample)
         else:
             self._take_probe(quarantine, sample, now)
 
@@ -121,15 +124,26 @@
                 changed.append(LimitEndpoint(endpoint, limit))
         return tuple(changed)
 
-    def _judge(
+    def _judge(self, endpoint: EndpointId, sample: Sample) -> None:
+        """Look for failures after one, and for slowness now and then."""
+        if sample.bad:
+            failing = self._diagnosis.failing(endpoint)
+            self._suspect(endpoint, failing, sample)
+        due = self._compare_at.get(sample.service, sample.at)
+        if sample.at < due:
+            return
+        self._compare_at[sample.service] = sample.at + _COMPARE_SECONDS
+        for slow, symptom in self._diagnosis.slow(sample.service).items():
+            self._suspect(slow, symptom, sample)
+
+    def _suspect(
         self,
         endpoint: EndpointId,
-        service: ServiceRef,
-        now: float,
+        symptom: Symptom | None,
+        sample: Sample,
     ) -> None:
-        symptom = self._diagnosis.symptom(endpoint, service)
-        if symptom is not None and self._can_spare(endpoint, service):
-            self._quarantine(endpoint, symptom, now)
+        if symptom is not None and self._can_spare(endpoint, sample.service):
+            self._quarantine(endpoint, symptom, sample.at)
 
     def _quarantine(
         self,
--- a/tests/fakes_deployment.py
+++ b/tests/fakes_deployment.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
+from types import MappingProxyType
 from typing import Any
 
 from cuminstack import wire
@@ -55,6 +56,7 @@
 
 #: Part of the tasks that fail.
 FAILING = 0.02
+_EVENTS = MappingProxyType({SendStart: 'start', Persist: 'persisted'})
 TIMING = Timing(interval=0.2, eager=0.6, patient=2)
 
 
@@ -294,14 +296,13 @@
         self._perform(own, effects)
 
     def _perform(self, own: Instance, effects: Any) -> None:
-        delayed = {SendStart: 'start', Persist: 'persisted'}
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(own, effect)
             elif isinstance(effect, JobEnded):
                 self.ended.append((effect.job, effect.outcome))
-            elif type(effect) in delayed:
-                event = delayed[type(effect)]
+            elif isinstance(effect, (SendStart, Persist)):
+                event = _EVENTS[type(effect)]
                 self._later(self._delay(), (event, own, effect))
 
     def _send(self, own: Instance, effect: Send) -> None:
