Leave room for ballots at each version

Cause: an entry that hasn't proposed for a while began below what the replicas had promised, and was refused once for each change. Change: a ballot begins above 16 times the version in force.

--- a/src/cuminstack/register/_ballots.py
+++ b/src/cuminstack/register/_ballots.py
@@ -23,6 +23,9 @@
     incarnation: int
 
 
+#: Ballots that are set aside for the attempts at one version.
+_BALLOTS_A_VERSION: Final = 16
+
 #: Below every ballot of an attempt.
 NO_BALLOT: Final = Ballot(0, InstanceId(''), 0)
 
@@ -40,9 +43,16 @@
         """Take a ballot that was seen, so that the next is above it."""
         self._highest = max(self._highest, ballot.number)
 
-    def take(self) -> Ballot:
-        """Give a ballot above all that were seen."""
-        self._highest += 1
+    def take(self, *, in_force: int = 0) -> Ballot:
+        """Give a ballot above all that were seen.
+
+        Args:
+            in_force: Newest version known to be in force.  Ballots leave
+                room for some attempts at each version, so that a process
+                which hasn't proposed for a while doesn't begin too low.
+        """
+        room = in_force * _BALLOTS_A_VERSION
+        self._highest = max(self._highest, room) + 1
         return Ballot(self._highest, self._own, self._incarnation)
 
 
--- a/src/cuminstack/register/_proposer.py
+++ b/src/cuminstack/register/_proposer.py
@@ -148,7 +148,7 @@
     def _begin(self, now: float) -> Effects:
         operation = self._queue[0]
         attempt = Attempt(
-            self._ballots.take(),
+            self._ballots.take(in_force=self._known.floor),
             self._replicas,
             known=self._known,
             decide=partial(self._decide, operation),
