--- a/bench/policies/_plots.py
+++ b/bench/policies/_plots.py
@@ -3,11 +3,7 @@
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
-import matplotlib as mpl
-
-mpl.use('Agg')
-# ruff: isort: split
-from matplotlib import pyplot
+from matplotlib.figure import Figure
 
 from bench.policies._measure import Figures
 
@@ -21,7 +17,8 @@
 
 def plot_messages(figures: Sequence[Figures], path: Path) -> None:
     """Plot messages a task of every policy."""
-    figure, axes = pyplot.subplots(figsize=_SIZE_INCHES)
+    figure = Figure(figsize=_SIZE_INCHES)
+    axes = figure.subplots()
     names = sorted({each.case.name for each in figures})
     for name in names:
         chosen = [each for each in figures if each.case.name == name]
@@ -35,7 +32,6 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path, metadata={'Software': None})
-    pyplot.close(figure)
 
 
 def _plot_over_load(
@@ -43,7 +39,8 @@
     path: Path,
     label: str,
 ) -> None:
-    figure, axes = pyplot.subplots(figsize=_SIZE_INCHES)
+    figure = Figure(figsize=_SIZE_INCHES)
+    axes = figure.subplots()
     chosen = [each for each in figures if each.case.name == 'leases']
     for size in sorted({each.case.tasks for each in chosen}):
         line = [each for each in chosen if each.case.tasks == size]
@@ -59,4 +56,3 @@
     axes.legend(title='tasks of a job')
     figure.tight_layout()
     figure.savefig(path, metadata={'Software': None})
-    pyplot.close(figure)
