--- a/src/cuminstack/slots/_policy.py
+++ b/src/cuminstack/slots/_policy.py
@@ -4,6 +4,7 @@
 object lives in each instance; the objects of a deployment talk by messages.
 """
 
+import enum
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar
@@ -41,6 +42,13 @@
     expected: float = 0
 
 
+class Preference(enum.Enum):
+    """What a member would rather have less of."""
+
+    response = 'response'
+    waste = 'waste'
+
+
 @dataclass(frozen=True, slots=True)
 class MemberTerms:
     """What the sheet grants a member.
@@ -49,10 +57,12 @@
         share: Weight of its turns against the other members'.
         max_slots: Slots that it may hold at once in the deployment; 0 for
             no bound.
+        preference: Whether waiting or messages are spared for its tasks.
     """
 
     share: float = 1
     max_slots: int = 0
+    preference: Preference = Preference.response
 
 
 class Policy(Protocol):
@@ -131,6 +141,31 @@
     ) -> Effects:
         """Take a message of the policy of another instance."""
 
+    def limit_endpoint(
+        self,
+        endpoint: EndpointId,
+        limit: int | None,
+        *,
+        now: float,
+    ) -> Effects:
+        """Bound the tasks that are run at an endpoint; none lifts it."""
+
+    def observe_hint(
+        self,
+        instance: InstanceId,
+        free_slots: int,
+        *,
+        now: float,
+    ) -> None:
+        """Take the count of free slots that a heartbeat carried."""
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots that this instance can tell of, for heartbeats."""
+
+    def leaving(self, *, now: float) -> Effects:
+        """Hand over what is held here, as this instance shuts down."""
+
     def tick(self, *, now: float) -> Effects:
         """Do what is due; called at least every 50 ms."""
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -24,7 +24,7 @@
     set_stamp,
     starting_state,
 )
-from fakes_network import Disk, Network, Packet, make_sheet
+from fakes_register_network import Disk, Network, Packet, make_sheet
 
 
 def _ready(replicas: int = 3, others: int = 2) -> Network:
--- a/tests/test_register_stateful.py
+++ b/tests/test_register_stateful.py
@@ -24,7 +24,7 @@
     encode_state,
 )
 from cuminstack.sheet import Sheet
-from fakes_network import Disk, Network, make_sheet
+from fakes_register_network import Disk, Network, make_sheet
 
 _REPLICAS = 3
 _OTHERS = 1
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -19,7 +19,7 @@
     Want,
 )
 from cuminstack.spread._tree import children
-from fakes_network import Network, Packet, make_sheet
+from fakes_register_network import Network, Packet, make_sheet
 
 
 def _ready(replicas: int = 3, others: int = 6) -> Network:
