Share the connections of endpoints, and fill the operators' views

Cause: connections were bounded by a constant an instance, so nine could open 72 of 64; views showed zeros for busy slots, held slots and peers' sheets. Change: each instance runs at most its even part of an endpoint's connections in tasks, which take one each; views, unused leases and stray answers are counted where they happen.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -17,6 +17,8 @@
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.daemon._sheets import SheetKeeper
+from cuminstack.daemon._views import Views
+from cuminstack.logs import LogOutput
 from cuminstack.settings import Address, Settings
 from cuminstack.store import DurableFile
 
@@ -25,9 +27,6 @@
 _MILLISECONDS: Final = 1000
 _NANOSECONDS: Final = 1_000_000
 
-#: Connections to one endpoint at most, where no lease says less.
-_CONNECTIONS_PER_ENDPOINT: Final = 8
-
 #: Time that the last outcomes are given to be written out, in seconds.
 _FLUSH_SECONDS: Final = 0.05
 
@@ -37,10 +36,12 @@
 
     Args:
         settings: What it was told.
+        output: Where its log lines go.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, output: LogOutput) -> None:
         self._settings = settings
+        self._output = output
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
         self._on_ready: list[Hook] = []
@@ -92,7 +93,6 @@
             driver.finished,
             timeouts=self._settings.timeouts,
             max_answer_bytes=self._settings.limits.max_answer_bytes,
-            connections=_CONNECTIONS_PER_ENDPOINT,
         )
         await sender.open()
         self._stack.push_async_callback(sender.close)
@@ -131,6 +131,7 @@
         endpoints = EndpointInterface(
             driver,
             keeper,
+            Views(driver, self._settings, self._output),
             self._settings,
         )
         callers = CallerInterface(driver, self._settings.limits)
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -22,6 +22,7 @@
 )
 from cuminstack.logs import log_event
 from cuminstack.membership import Superseded
+from cuminstack.metrics import MetricsSnapshot
 from cuminstack.node import (
     AnnounceReply,
     Effects,
@@ -78,11 +79,6 @@
         """The deciding parts."""
         return self._node
 
-    @property
-    def observer(self) -> Observer:
-        """What was recorded."""
-        return self._observer
-
     @property
     def now(self) -> float:
         """Present time: seconds of the loop's monotonic clock."""
@@ -93,6 +89,14 @@
         """How late the last tick was, in seconds."""
         return self._lag
 
+    def snapshot(self) -> MetricsSnapshot:
+        """Give everything that was measured and counted so far."""
+        self._observer.counted(
+            unused_leases=self._node.policy.unused_leases,
+            strays=self._node.book.strays.counts.total(),
+        )
+        return self._observer.snapshot()
+
     def on_effect(self, effect: type[Any], performer: _Performer) -> None:
         """Have an effect of the node performed by another object."""
         self._performers[effect] = performer
--- a/src/cuminstack/daemon/_endpoints.py
+++ b/src/cuminstack/daemon/_endpoints.py
@@ -23,6 +23,7 @@
     Args:
         driver: Runs the node.
         keeper: Puts sheets in force.
+        views: What operators are told.
         settings: Bounds on bodies, and what endpoints are told to keep to.
     """
 
@@ -30,13 +31,14 @@
         self,
         driver: Driver,
         keeper: SheetKeeper,
+        views: Views,
         settings: Settings,
     ) -> None:
         self._driver = driver
         self._keeper = keeper
         self._limits = settings.limits
         self._timeouts = settings.timeouts
-        self._views = Views(driver, settings)
+        self._views = views
         self._is_ready = True
 
     def application(self) -> web.Application:
@@ -102,7 +104,7 @@
         return json_response(self._views.endpoints())
 
     async def _histograms(self, _: web.Request) -> web.Response:
-        return json_response(self._driver.observer.snapshot())
+        return json_response(self._driver.snapshot())
 
     async def _ready(self, _: web.Request) -> web.Response:
         is_known = self._driver.node.sheets.is_known(now=self._driver.now)
--- a/src/cuminstack/daemon/_observer.py
+++ b/src/cuminstack/daemon/_observer.py
@@ -1,9 +1,11 @@
 """Turns what the driver does into histograms, counts and log lines."""
 
 from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final
 
 from cuminstack import wire
-from cuminstack.core import InstanceId, JobId, ServiceRef
+from cuminstack.core import InstanceId, JobId, ServiceRef, TaskId
 from cuminstack.daemon._sender import AttemptEnd
 from cuminstack.jobs import (
     Complete,
@@ -25,6 +27,13 @@
 )
 from cuminstack.settings import LogLevel
 
+_TALLIES: Final = MappingProxyType(
+    {
+        StartEnd.failed: Tally.tasks_failed,
+        StartEnd.unknown: Tally.tasks_unknown,
+    },
+)
+
 
 @dataclass(slots=True)
 class _JobTimes:
@@ -45,7 +54,9 @@
     def __init__(self, instance: InstanceId) -> None:
         self._metrics = Metrics(instance)
         self._jobs: dict[JobId, _JobTimes] = {}
-        self._sent_at: dict[str, float] = {}
+        self._sent_at: dict[TaskId, float] = {}
+        self._unused_leases = 0
+        self._strays = 0
 
     def snapshot(self) -> MetricsSnapshot:
         """Give everything recorded so far."""
@@ -72,7 +83,7 @@
         times = self._jobs.get(start.task.job)
         if times is not None:
             self._metrics.record_wait(start.service, now - times.accepted_at)
-        self._sent_at[str(start.task)] = now
+        self._sent_at[start.task] = now
 
     def finished(
         self,
@@ -82,7 +93,7 @@
         now: float,
     ) -> None:
         """Record the end of an attempt."""
-        ran = now - self._sent_at.pop(str(start.task), now)
+        ran = now - self._sent_at.pop(start.task, now)
         if ended.stale:
             self._waste(start.service, WasteCause.stale_answer)
         if ended.recovered:
@@ -94,6 +105,9 @@
             kind = MessageKind.refused_start
             self._metrics.record_message(kind, Direction.received)
             self._waste(start.service, WasteCause.refused_start)
+        tally = _TALLIES.get(ended.end)
+        if tally is not None:
+            self._metrics.record_tally(start.service, tally)
         log_event(
             'task.not_answered',
             LogLevel.warning,
@@ -109,6 +123,7 @@
             return
         self._metrics.record_message(MessageKind.outcome, Direction.sent)
         if isinstance(effect.outcome, Complete):
+            self._metrics.record_tally(times.service, Tally.jobs_accepted)
             self._metrics.record_tally(times.service, Tally.jobs_complete)
             self._metrics.record_response(
                 times.service,
@@ -117,6 +132,8 @@
             )
             return
         refused = isinstance(effect.outcome, Refused)
+        if not refused:
+            self._metrics.record_tally(times.service, Tally.jobs_accepted)
         tally = Tally.jobs_refused if refused else Tally.jobs_failed
         self._metrics.record_tally(times.service, tally)
         log_event(
@@ -142,9 +159,18 @@
         kind = MessageKind.announcement
         self._metrics.record_message(kind, Direction.received)
 
-    def strayed(self, start: SendStart) -> None:
-        """Record an answer that matched no attempt in progress."""
-        self._waste(start.service, WasteCause.stale_answer)
+    def counted(self, *, unused_leases: int, strays: int) -> None:
+        """Record what the node has counted since its start."""
+        self._metrics.record_waste(
+            WasteCause.lease_unused,
+            count=unused_leases - self._unused_leases,
+        )
+        self._metrics.record_waste(
+            WasteCause.stale_answer,
+            count=strays - self._strays,
+        )
+        self._unused_leases = unused_leases
+        self._strays = strays
 
     def _answered(self, start: SendStart, ran: float) -> None:
         self._metrics.record_message(MessageKind.answer, Direction.received)
--- a/src/cuminstack/daemon/_program.py
+++ b/src/cuminstack/daemon/_program.py
@@ -34,7 +34,7 @@
     # The application belongs to the loop, so it is made inside of it.
     output = configure_logs(settings.logs)
     try:
-        await Application(settings).run()
+        await Application(settings, output).run()
     finally:
         output.close()
 
--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -156,7 +156,6 @@
         finished: Called once for each start that was sent.
         timeouts: How long to wait for what.
         max_answer_bytes: Largest answer of one task.
-        connections: Connections to one endpoint at most.
     """
 
     def __init__(
@@ -165,12 +164,10 @@
         *,
         timeouts: TimeoutSettings,
         max_answer_bytes: int,
-        connections: int,
     ) -> None:
         self._finished = finished
         self._timeouts = timeouts
         self._max_answer_bytes = max_answer_bytes
-        self._connections = connections
         self._attempts: set[asyncio.Task[None]] = set()
         self._starts: aiohttp.ClientSession | None = None
         self._questions: aiohttp.ClientSession | None = None
@@ -180,8 +177,8 @@
         connect = self._timeouts.connect_ms / _MILLISECONDS
         self._starts = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
+                # How many tasks run at an endpoint bounds the connections.
                 limit=0,
-                limit_per_host=self._connections,
                 keepalive_timeout=(
                     self._timeouts.idle_connection_ms / _MILLISECONDS
                 ),
--- a/src/cuminstack/daemon/_views.py
+++ b/src/cuminstack/daemon/_views.py
@@ -3,10 +3,17 @@
 import time
 from typing import Final
 
-from cuminstack.core import EndpointRecord, EndpointState, InstanceId
+from cuminstack.core import (
+    EndpointId,
+    EndpointRecord,
+    EndpointState,
+    InstanceId,
+)
 from cuminstack.daemon._driver import Driver
+from cuminstack.logs import LogOutput
 from cuminstack.membership import Standing
 from cuminstack.queries import (
+    EndpointHealth,
     EndpointsView,
     EndpointView,
     InstanceState,
@@ -30,9 +37,16 @@
     Args:
         driver: Runs the node.
         settings: What the instance was told.
+        output: Where its log lines go.
     """
 
-    def __init__(self, driver: Driver, settings: Settings) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        settings: Settings,
+        output: LogOutput,
+    ) -> None:
+        self._output = output
         self._driver = driver
         self._node = driver.node
         self._settings = settings
@@ -52,11 +66,14 @@
             sheet=self._sheet(),
             load=self._load(),
             instances=self._instances(),
+            log_lines_dropped=self._output.dropped,
         )
 
     def members(self) -> MembersView:
         """Describe the members of the sheet in force here."""
         sheet = self._node.sheets.sheet
+        in_progress = self._node.health.in_progress
+        running = self._node.book.running_by_member
         members = tuple(
             MemberView(
                 member=member.name,
@@ -68,7 +85,9 @@
                     for service in sheet.services
                     if service.member == member.name
                 ),
+                slots_held=in_progress[member.name],
                 tasks_queued=self._node.book.queued_of(member.name),
+                jobs_running=running[member.name],
             )
             for member in sheet.members
         )
@@ -94,9 +113,16 @@
             busy=record.busy,
             connections=record.connections,
             state=record.state,
+            health=self._health_of(record.endpoint),
             owner=self._node.endpoints.owner_of(record).instance,
         )
 
+    def _health_of(self, endpoint: EndpointId) -> EndpointHealth:
+        quarantined = self._node.health.health.quarantined
+        if any(each.endpoint == endpoint for each in quarantined):
+            return EndpointHealth.quarantined
+        return EndpointHealth.healthy
+
     def _sheet(self) -> SheetView:
         sheet = self._node.sheets.sheet
         freshness = self._node.sheets.freshness(now=self._driver.now)
@@ -117,8 +143,10 @@
         return LoadView(
             jobs_running=self._node.book.running,
             tasks_queued=self._node.book.queued,
+            tasks_running=self._node.health.in_progress.total(),
             endpoints=len(records),
             slots=sum(record.slots for record in serving),
+            slots_busy=sum(each.busy for each in self._node.endpoints.owned),
         )
 
     def _instances(self) -> tuple[InstanceView, ...]:
@@ -130,6 +158,9 @@
                 zone=peer.zone,
                 state=self._state_of(peer.name),
                 replica=peer.replica,
+                sheet_version=self._node.peers.advertised_by(
+                    peer.name,
+                ).version,
             )
             for peer in peers
         )
--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -67,6 +67,11 @@
         """Number of jobs in progress."""
         return len(self._running)
 
+    @property
+    def running_by_member(self) -> Counter[MemberName]:
+        """Number of jobs in progress, by member."""
+        return Counter(job.member for job in self._running)
+
     @property
     def strays(self) -> Strays:
         """Late or duplicate results, which were dropped."""
--- a/src/cuminstack/node/_dispatch.py
+++ b/src/cuminstack/node/_dispatch.py
@@ -110,8 +110,10 @@
         *,
         now: float,
     ) -> Effects:
-        self._health.observe(effect)
-        return self._policy.observe_endpoint(effect.record, now=now)
+        return (
+            *self._policy.observe_endpoint(effect.record, now=now),
+            *self._health.observe(effect.record, now=now),
+        )
 
     @on_effect(EndpointGone)
     def _endpoint_gone(self, effect: EndpointGone, *, now: float) -> Effects:
--- a/src/cuminstack/node/_health.py
+++ b/src/cuminstack/node/_health.py
@@ -1,12 +1,19 @@
 """How endpoints do: what their attempts show, and what follows from it."""
 
+from collections import Counter
 from itertools import chain
 from types import MappingProxyType
 from typing import Final
 
 from cuminstack.admission import Admission
-from cuminstack.core import EndpointId, ServiceRef, TaskId
-from cuminstack.endpoints import EndpointChanged, EndpointGone
+from cuminstack.core import (
+    EndpointId,
+    EndpointRecord,
+    MemberName,
+    ServiceRef,
+    TaskId,
+)
+from cuminstack.endpoints import EndpointGone
 from cuminstack.health import EndpointHealth, Outcome
 from cuminstack.jobs import SendStart, StartEnd
 from cuminstack.node._routing import Effects
@@ -34,13 +41,22 @@
     Args:
         policy: The dispatch policy, told which endpoints to spare.
         admission: Learns run times, and which endpoints there are.
+        instances: Instances that share the connections of each endpoint.
     """
 
-    def __init__(self, policy: Policy, admission: Admission) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        admission: Admission,
+        *,
+        instances: int,
+    ) -> None:
+        self._instances = instances
         self._policy = policy
         self._admission = admission
         self._health = EndpointHealth()
         self._started: dict[TaskId, float] = {}
+        self._connections: dict[EndpointId, int] = {}
         self._looked_at = float('-inf')
 
     @property
@@ -89,13 +105,27 @@
         ]
         return tuple(chain.from_iterable(effects))
 
-    def observe(self, effect: EndpointChanged) -> None:
-        """Take a new or changed record of an endpoint."""
-        self._health.observe_endpoint(effect.record)
-        self._admission.observe_endpoint(effect.record)
+    @property
+    def in_progress(self) -> Counter[MemberName]:
+        """Attempts that were sent and have not ended, by member."""
+        return Counter(task.job.member for task in self._started)
+
+    def observe(self, record: EndpointRecord, *, now: float) -> Effects:
+        """Take a new or changed record of an endpoint.
+
+        A task takes a connection, and each instance may open an even part
+        of those that the endpoint accepts.
+        """
+        self._health.observe_endpoint(record)
+        self._admission.observe_endpoint(record)
+        part = max(1, record.connections // self._instances)
+        self._connections[record.endpoint] = part
+        limit = self._health.limit(record.endpoint, now=now)
+        return self._limit(record.endpoint, limit, now=now)
 
     def forget(self, effect: EndpointGone) -> None:
         """Drop an endpoint that is gone."""
+        self._connections.pop(effect.endpoint, None)
         self._health.forget_endpoint(effect.endpoint)
         self._admission.forget_endpoint(effect.endpoint)
 
@@ -106,4 +136,7 @@
         *,
         now: float,
     ) -> Effects:
-        return self._policy.limit_endpoint(endpoint, limit, now=now)
+        bound = self._connections.get(endpoint, 1)
+        if limit is not None:
+            bound = min(bound, limit)
+        return self._policy.limit_endpoint(endpoint, bound, now=now)
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -18,7 +18,6 @@
     Send,
 )
 from cuminstack.endpoints import Directory
-from cuminstack.health import EndpointHealth
 from cuminstack.jobs import (
     CancelJob,
     JobBook,
@@ -112,7 +111,11 @@
         self._directory = Directory()
         self._membership = Membership(own, parts.peers, timing=options.timing)
         self._admission = parts.admission
-        self._health = HealthDesk(parts.policy, self._admission)
+        self._health = HealthDesk(
+            parts.policy,
+            self._admission,
+            instances=len(parts.peers) + 1,
+        )
         self._sheets = SheetDesk(
             parts.register,
             parts.spread,
@@ -177,9 +180,19 @@
         return self._sheets
 
     @property
-    def health(self) -> EndpointHealth:
-        """Which endpoints are quarantined."""
-        return self._health.health
+    def health(self) -> HealthDesk:
+        """How endpoints do."""
+        return self._health
+
+    @property
+    def peers(self) -> PeerDesk:
+        """What the other instances advertise."""
+        return self._peers
+
+    @property
+    def policy(self) -> Policy:
+        """The dispatch policy; for queries only."""
+        return self._policy
 
     @property
     def book(self) -> JobBook:
--- a/src/cuminstack/node/_peers.py
+++ b/src/cuminstack/node/_peers.py
@@ -71,24 +71,15 @@
         self._directory = directory
         self._policy = policy
         self._sheets = sheets
-        self._advertised: dict[InstanceId, int] = {}
+        self._advertised: dict[InstanceId, Summary] = {}
         self._departed: dict[InstanceId, float] = {}
         self._alive: frozenset[tuple[InstanceId, int]] = frozenset()
         self._routable: frozenset[InstanceId] = frozenset()
         self._compared_at = float('-inf')
 
-    @property
-    def membership(self) -> Membership:
-        """The failure detector."""
-        return self._membership
-
-    def leave(self, *, now: float) -> Effects:
-        """Announce that this instance takes no new work."""
-        return self._membership.leave(now=now)
-
-    def link_lost(self, peer: InstanceId, *, now: float) -> Effects:
-        """Take the hint that a peer can't be reached."""
-        return self._membership.link_lost(peer, now=now)
+    def advertised_by(self, peer: InstanceId) -> Summary:
+        """Give what a peer's last heartbeat advertised."""
+        return self._advertised.get(peer, Summary())
 
     def tick(self, *, now: float) -> Effects:
         """Send what is due, and pull tables that are behind."""
@@ -122,7 +113,7 @@
 
     @on_effect(PeerSummary)
     def _peer_summary(self, effect: PeerSummary, *, now: float) -> Effects:
-        self._advertised[effect.sender] = effect.summary.stamp
+        self._advertised[effect.sender] = effect.summary
         self._policy.observe_hint(
             effect.sender,
             effect.summary.free,
@@ -190,6 +181,6 @@
         return self._directory.observe_version(
             name,
             record.incarnation,
-            self._advertised[name],
+            self._advertised[name].stamp,
             now=now,
         )
--- a/src/cuminstack/slots/_base.py
+++ b/src/cuminstack/slots/_base.py
@@ -132,6 +132,11 @@
         """None that others could be told of: nothing is leased."""
         return 0
 
+    @property
+    def unused_leases(self) -> int:
+        """None, as nothing is leased."""
+        return 0
+
     def observe_hint(
         self,
         instance: InstanceId,
--- a/src/cuminstack/slots/_policy.py
+++ b/src/cuminstack/slots/_policy.py
@@ -163,6 +163,10 @@
     def free_slots(self) -> int:
         """Free slots that this instance can tell of, for heartbeats."""
 
+    @property
+    def unused_leases(self) -> int:
+        """Leases got from other instances so far that went without use."""
+
     def leaving(self, *, now: float) -> Effects:
         """Hand over what is held here, as this instance shuts down."""
 
