Keep use elsewhere by member

Cause: each ask and heartbeat summed what all instances had told of all members, which grows with the number of members. Change: counts of running tasks are kept by member and expire by themselves.

--- a/src/cuminstack/fairness/_queue.py
+++ b/src/cuminstack/fairness/_queue.py
@@ -126,10 +126,9 @@
         """Add use that was granted elsewhere."""
         self._account(member).charge(seconds)
 
-    def observe_elsewhere(self, running: Mapping[str, int]) -> None:
-        """Take the slots that members hold elsewhere; they count for caps."""
-        for name, account in self._accounts.items():
-            account.elsewhere = running.get(name, 0)
+    def observe_elsewhere(self, member: str, running: int) -> None:
+        """Take the slots that a member holds elsewhere, for its cap."""
+        self._account(member).elsewhere = running
 
     def mean(self, member: str) -> float:
         """Give the mean run time of a member's tasks, in seconds."""
--- a/src/cuminstack/slots/_demand.py
+++ b/src/cuminstack/slots/_demand.py
@@ -70,7 +70,7 @@
     def __init__(self, own: InstanceId) -> None:
         self._own = own
         self._fair: FairQueue[WaitingJob] = FairQueue()
-        self._tasks = TaskQueue(self._job_of)
+        self._tasks = TaskQueue(partial(_job_at, own))
         self._lanes: Counter[TaskClass] = Counter()
         self._wants: dict[_Wanting, _Want] = {}
         self._turns: dict[TaskId, tuple[_Turn, float]] = {}
@@ -124,10 +124,10 @@
         now: float,
     ) -> None:
         """Take the use that an instance tells."""
-        fresh = self.usage.learn(sender, uses, now=now)
-        for member, seconds in fresh.items():
-            self._fair.charge(member, seconds)
-        self._fair.observe_elsewhere(self.usage.elsewhere(now=now))
+        for use in uses:
+            fresh = self.usage.learn(sender, use, now=now)
+            self._fair.charge(use.member, fresh)
+            self._observe_elsewhere(use.member)
 
     def forget(self, sender: InstanceId, member: str) -> None:
         """Drop the wants of an instance for a member."""
@@ -138,7 +138,8 @@
     def expire(self, alive: Iterable[InstanceId], *, now: float) -> None:
         """Drop old wants, and those of instances that have gone."""
         living = set(alive)
-        self._fair.observe_elsewhere(self.usage.elsewhere(now=now))
+        for member in self.usage.expire(now=now):
+            self._observe_elsewhere(member)
         for wanting, want in tuple(self._wants.items()):
             if want.end <= now or wanting.sender not in living:
                 self.forget(wanting.sender, wanting.member)
@@ -221,8 +222,9 @@
             demand.attained + rest,
         )
 
-    def _job_of(self, task: QueuedTask) -> WaitingJob:
-        return WaitingJob(self._own, task.task.job, class_of(task))
+    def _observe_elsewhere(self, member: str) -> None:
+        elsewhere = self.usage.elsewhere(member)
+        self._fair.observe_elsewhere(member, elsewhere)
 
     def _refile(self, job: WaitingJob, since: float) -> None:
         lane = _Lane(job.lane, own=True)
@@ -260,5 +262,9 @@
         return job
 
 
+def _job_at(instance: InstanceId, task: QueuedTask) -> WaitingJob:
+    return WaitingJob(instance, task.task.job, class_of(task))
+
+
 def _waits_at(instance: InstanceId, job: WaitingJob) -> bool:
     return job.instance == instance
--- a/src/cuminstack/slots/_usage.py
+++ b/src/cuminstack/slots/_usage.py
@@ -1,7 +1,6 @@
 """Use by members, here and as other instances tell."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -12,12 +11,11 @@
 _STALE_SECONDS: Final = 2
 
 
-@dataclass(slots=True)
-class _Told:
-    """What an instance told of a member, and when."""
+@dataclass(frozen=True, slots=True)
+class _Running:
+    """Tasks of a member that run at an instance, as it told."""
 
-    seconds: float
-    running: int
+    count: int
     at: float
 
 
@@ -27,7 +25,8 @@
     def __init__(self) -> None:
         self._used: dict[str, float] = {}
         self._running: Counter[str] = Counter()
-        self._told: dict[tuple[InstanceId, str], _Told] = {}
+        self._told: dict[tuple[InstanceId, str], float] = {}
+        self._elsewhere: dict[str, dict[InstanceId, _Running]] = {}
 
     @property
     def running(self) -> int:
@@ -59,34 +58,39 @@
 
     def lend(self, sender: InstanceId, member: str, seconds: float) -> None:
         """Count in advance what another instance will tell."""
-        told = self._told.get((sender, member))
+        place = (sender, member)
+        told = self._told.get(place)
         if told is not None:
-            told.seconds += seconds
-
-    def learn(
-        self,
-        sender: InstanceId,
-        uses: Iterable[Use],
-        *,
-        now: float,
-    ) -> Mapping[str, float]:
+            self._told[place] = told + seconds
+
+    def learn(self, sender: InstanceId, use: Use, *, now: float) -> float:
         """Take what an instance tells; returns the new slot-seconds."""
-        fresh: dict[str, float] = {}
-        for use in uses:
-            place = (sender, use.member)
-            told = self._told.get(place)
-            if told is not None:
-                fresh[use.member] = use.seconds - told.seconds
-            self._told[place] = _Told(use.seconds, use.running, now)
-        return fresh
-
-    def elsewhere(self, *, now: float) -> Mapping[str, int]:
-        """Tell how many tasks of each member run at other instances."""
-        total: Counter[str] = Counter()
-        for (_, member), told in self._told.items():
-            if now - told.at < _STALE_SECONDS:
-                total[member] += told.running
-        return total
+        place = (sender, use.member)
+        told = self._told.get(place, use.seconds)
+        self._told[place] = use.seconds
+        running = self._elsewhere.setdefault(use.member, {})
+        running[sender] = _Running(use.running, now)
+        return use.seconds - told
+
+    def elsewhere(self, member: str) -> int:
+        """Tell how many tasks of a member run at other instances."""
+        told = self._elsewhere.get(member, {})
+        return sum(running.count for running in told.values())
+
+    def expire(self, *, now: float) -> tuple[str, ...]:
+        """Forget old counts; returns the members that had some."""
+        old = [
+            (member, sender)
+            for member, told in self._elsewhere.items()
+            for sender, running in told.items()
+            if now - running.at >= _STALE_SECONDS
+        ]
+        for member, sender in old:
+            told = self._elsewhere[member]
+            told.pop(sender)
+            if not told:
+                self._elsewhere.pop(member)
+        return tuple({place[0] for place in old})
 
     def _add(self, member: str, seconds: float) -> None:
         self._used[member] = self._used.get(member, 0) + seconds
