--- /dev/null
+++ b/src/cuminstack/daemon/_application.py
@@ -0,0 +1,176 @@
+"""The application object: owns every part, opens and closes them in order."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine, Iterable
+from contextlib import AsyncExitStack, suppress
+from functools import partial
+from typing import Any, Final
+
+from aiohttp import web
+
+from cuminstack.daemon._assembly import make_node
+from cuminstack.daemon._callers import CallerInterface
+from cuminstack.daemon._driver import Driver, log_rejected
+from cuminstack.daemon._endpoints import EndpointInterface
+from cuminstack.daemon._links import Hello, PeerLink, PeerListener
+from cuminstack.daemon._observer import Observer
+from cuminstack.daemon._sender import TaskSender
+from cuminstack.daemon._sheets import SheetKeeper
+from cuminstack.settings import Address, Settings
+from cuminstack.store import DurableFile
+
+Hook = Callable[[], None]
+
+_MILLISECONDS: Final = 1000
+_NANOSECONDS: Final = 1_000_000
+
+#: Connections to one endpoint at most, where no lease says less.
+_CONNECTIONS_PER_ENDPOINT: Final = 8
+
+#: Time that the last outcomes are given to be written out, in seconds.
+_FLUSH_SECONDS: Final = 0.05
+
+
+class Application:
+    """One instance of the daemon.
+
+    Args:
+        settings: What it was told.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._stack = AsyncExitStack()
+        self._stopping = asyncio.Event()
+        self._on_ready: list[Hook] = []
+        self._on_drain: list[Hook] = []
+
+    def on_ready(self, hook: Hook) -> None:
+        """Call a hook once all listeners are open."""
+        self._on_ready.append(hook)
+
+    def on_drain(self, hook: Hook) -> None:
+        """Call a hook when a shutdown begins."""
+        self._on_drain.append(hook)
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Run until a shutdown has ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        async with self._stack:
+            driver = await self._open()
+            _call(self._on_ready)
+            await self._stopping.wait()
+            _call(self._on_drain)
+            await self._drain(driver)
+
+    async def _open(self) -> Driver:
+        folder = self._settings.instance.data_folder
+        store = None if folder is None else DurableFile(folder)
+        now = asyncio.get_running_loop().time()
+        node = make_node(self._settings, store, now=now)
+        driver = Driver(
+            node,
+            Observer(node.own.instance),
+            tick_seconds=self._settings.timeouts.tick_ms / _MILLISECONDS,
+        )
+        await self._open_sender(driver)
+        await self._open_peers(driver)
+        await self._open_interfaces(driver, SheetKeeper(driver, store))
+        driver.start()
+        self._background(driver.run())
+        return driver
+
+    async def _open_sender(self, driver: Driver) -> None:
+        sender = TaskSender(
+            driver.finished,
+            timeouts=self._settings.timeouts,
+            max_answer_bytes=self._settings.limits.max_answer_bytes,
+            connections=_CONNECTIONS_PER_ENDPOINT,
+        )
+        await sender.open()
+        self._stack.push_async_callback(sender.close)
+        own = driver.node.own
+        hello = Hello(own.instance, own.incarnation)
+        pause = self._settings.timeouts.link_retry_ms / _MILLISECONDS
+        links = {
+            peer.name: PeerLink(
+                peer.peer_address,
+                hello,
+                longest_pause=pause,
+                refused=partial(driver.link_lost, peer.name),
+            )
+            for peer in self._settings.other_peers
+        }
+        for link in links.values():
+            self._background(link.run())
+        driver.connect(sender, links)
+
+    async def _open_peers(self, driver: Driver) -> None:
+        if self._settings.is_embedded:
+            return
+        listener = PeerListener(
+            frozenset(peer.name for peer in self._settings.other_peers),
+            receive=driver.receive,
+            reject=log_rejected,
+        )
+        await listener.start(self._settings.listen.peers)
+        self._stack.push_async_callback(listener.stop)
+
+    async def _open_interfaces(
+        self,
+        driver: Driver,
+        keeper: SheetKeeper,
+    ) -> None:
+        endpoints = EndpointInterface(
+            driver,
+            keeper,
+            self._settings,
+        )
+        callers = CallerInterface(driver, self._settings.limits)
+        self.on_drain(endpoints.stop_accepting)
+        self.on_drain(driver.drain)
+        self._background(callers.run())
+        listen = self._settings.listen
+        await self._serve(endpoints.application(), listen.endpoints)
+        await self._serve(callers.application(), listen.callers)
+
+    async def _serve(
+        self,
+        application: web.Application,
+        address: Address,
+    ) -> None:
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, address.host, address.port)
+        await site.start()
+
+    async def _drain(self, driver: Driver) -> None:
+        """Let the jobs in progress end, for as long as the settings say."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.limits.drain_seconds):
+                await driver.idle()
+        # Outcomes that just came in still have to be written out.
+        await asyncio.sleep(_FLUSH_SECONDS)
+
+    def _background(self, work: Coroutine[Any, Any, None]) -> None:
+        running = asyncio.ensure_future(work)
+        self._stack.push_async_callback(_cancel, running)
+
+
+def _call(hooks: Iterable[Hook]) -> None:
+    for hook in hooks:
+        hook()
+
+
+async def _cancel(running: 'asyncio.Future[None]') -> None:
+    running.cancel()
+    with suppress(asyncio.CancelledError):
+        await running
