Fuzz claims in a view change, too

Cause: the stateful test knew one view only. Change: a second machine in which added instances and all that restart run the joint view, the rest the former one. Conclusion: 60 examples of each run with the unit tests.

--- a/tests/test_claims_fuzz.py
+++ b/tests/test_claims_fuzz.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -14,10 +15,16 @@
 from cuminstack.claims import AlreadyClaimed, Claimed, ClaimView, NoMajority
 from cuminstack.core import JobId
 from fakes_claims import ClaimDeployment, make_job
-from fakes_network import make_instances
+from fakes_network import make_instance, make_instances
 
 VIEW = ClaimView(1, make_instances(3, 2))
 NAMES = tuple(str(instance.instance) for instance in VIEW.instances)
+ADDED = ('a3', 'b3', 'c3')
+JOINT = ClaimView(
+    2,
+    tuple(make_instance(name) for name in ('a1', 'b1', 'c1', *ADDED)),
+    VIEW.instances,
+)
 KEYS = ('j1', 'j2', 'j3', 'j4')
 
 names = st.sampled_from(NAMES)
@@ -30,6 +37,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.deployment = ClaimDeployment(VIEW, seed=1)
+        self.restart_view = VIEW
         self.asked: dict[tuple[str, JobId], bytes] = {}
         self.holders: dict[JobId, tuple[str, int]] = {}
         self.checked = 0
@@ -73,7 +81,7 @@
     @rule(name=names)
     def restart(self, name: str) -> None:
         self.deployment.kill(name)
-        self.deployment.start(name, VIEW)
+        self.deployment.start(name, self.restart_view)
         for asked in tuple(self.asked):
             if asked[0] == name:
                 self.asked.pop(asked)
@@ -116,12 +124,28 @@
         assert self.holders.setdefault(job, holder) == holder
 
 
+class JointMachine(ClaimsMachine):
+    """The same in a view change: who restarts, restarts in the joint view."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.restart_view = JOINT
+        for name in ADDED:
+            self.deployment.start(name, JOINT)
+            self.deployment.parts[name].assume_fresh()
+
+    @rule(name=st.sampled_from(ADDED), key=keys)
+    def claim_at_an_added_one(self, name: str, key: str) -> None:
+        self.claim(name, key, b'1')
+
+
 class TestClaimsFuzz:
-    """Runs the machine; the examples are the same each time."""
+    """Runs the machines; the examples are the same each time."""
 
-    def test_machine(self) -> None:
+    @pytest.mark.parametrize('machine', [ClaimsMachine, JointMachine])
+    def test_machine(self, machine: type[ClaimsMachine]) -> None:
         run_state_machine_as_test(
-            ClaimsMachine,
+            machine,
             settings=settings(
                 max_examples=60,
                 stateful_step_count=40,
