Take announcements while the only instance drains

Cause: a sole instance that drains is no longer routable, so owner_of indexed an empty list; each announcement got 500, the endpoint's lease ran out and jobs in progress were cut. Change: where nobody is routable the own instance stays the owner.

--- a/src/cuminstack/node/_endpoints.py
+++ b/src/cuminstack/node/_endpoints.py
@@ -65,8 +65,10 @@
 
     def owner_of(self, record: EndpointRecord) -> Instance:
         """Choose the instance that an endpoint should announce to."""
-        local = [each for each in self._routable if each.zone == record.zone]
-        candidates = {each.instance: each for each in local or self._routable}
+        # A sole instance that drains routes to nobody, and still owns them.
+        routable = self._routable or (self._own,)
+        local = [each for each in routable if each.zone == record.zone]
+        candidates = {each.instance: each for each in local or routable}
         order = rendezvous_order(record.endpoint, candidates)
         return candidates[InstanceId(order[0])]
 
