--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import tempfile
-import zlib
 from collections.abc import Iterable, Mapping, Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -20,6 +19,7 @@
     NotReady,
     SheetNotAccepted,
 )
+from bench._endpoint_command import endpoint_command
 from bench._plan import InstancePlan, plan_instances, write_settings
 from bench._polling import until
 from bench._start_log import read_start_log, start_log_path
@@ -120,7 +120,14 @@
         """Start stand-in endpoints of a zone, in one process."""
         child = await Child.spawn(
             names[0],
-            self._endpoint_command(names, zone, mode or {}),
+            endpoint_command(
+                names,
+                zone,
+                options=self.options,
+                announce_to=self._zone_urls(zone),
+                folder=self._folder,
+                mode=mode or {},
+            ),
             folder=self._folder,
             stdout=asyncio.subprocess.PIPE,
         )
@@ -229,28 +236,6 @@
                     group.create_task(self.start_endpoints(names, zone))
         await self.wait_endpoints(one.name for one in self.endpoints)
 
-    def _endpoint_command(
-        self,
-        names: Sequence[str],
-        zone: str,
-        mode: Mapping[str, Any],
-    ) -> list[str]:
-        urls = [
-            entry.endpoints_url
-            for entry in self.instances
-            if entry.plan.zone == zone
-        ]
-        options = self.options
-        arguments = {
-            'endpoint': ','.join(names),
-            'zone': zone,
-            'serves': options.serves,
-            'slots': options.slots,
-            'announce-to': ','.join(urls),
-            'seed': options.seed + zlib.crc32(names[0].encode()),
-            'mode': orjson.dumps(mode).decode(),
-            'linger-ms': options.linger_ms,
-            'start-logs': self._folder,
-        }
-        flags = [f'--{flag}={given}' for flag, given in arguments.items()]
-        return [program('python'), '-m', 'bench.endpoint', *flags]
+    def _zone_urls(self, zone: str) -> list[str]:
+        local = (one for one in self.instances if one.plan.zone == zone)
+        return [entry.endpoints_url for entry in local]
