--- a/bench/_endpoint_app.py
+++ b/bench/_endpoint_app.py
@@ -87,7 +87,11 @@
 
     async def _stop(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
-        stopped = [task for task in body['tasks'] if self.stand_in.stop(task)]
+        stopped = []
+        if not body.get('unstarted_only', False):
+            stopped = [
+                task for task in body['tasks'] if self.stand_in.stop(task)
+            ]
         never = [task for task in body['tasks'] if self.stand_in.forbid(task)]
         return json_response({'stopped': stopped, 'never_started': never})
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -43,6 +43,9 @@
 #: Bytes around a frame: IP and TCP headers and the websocket's own.
 _HEADER_BYTES: Final = 60
 
+#: Bytes of the dispatch policy's summary, with two members at work.
+_LOAD_BYTES: Final = 121
+
 _SEEDS: Final = (1, 2, 3)
 
 #: Zones, and instances in each, of the deployments to report.
@@ -186,7 +189,7 @@
         seq=123_456,
         heard=123_456,
         table=bytes(4),
-        summary=Summary(5200, bytes(8), 123_456, 64),
+        summary=Summary(5200, bytes(8), 123_456, bytes(_LOAD_BYTES)),
     )
     frame = len(wire.encode(beat)) + _HEADER_BYTES
     most = max(degrees)
--- a/src/cuminstack/daemon/_sender.py
+++ b/src/cuminstack/daemon/_sender.py
@@ -88,9 +88,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StopBody:
-    """Asks an endpoint to stop tasks."""
+    """Asks an endpoint to stop tasks, or only those that did not start."""
 
     tasks: tuple[str, ...]
+    unstarted_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -342,9 +343,11 @@
     ) -> AttemptEnd | None:
         """Have an absent attempt never start, however late it arrives.
 
-        The start may still be on its way on the silent connection.
+        The start may still be on its way on the silent connection, or have
+        arrived since; one that has started is left alone.
         """
-        reply = await self._delete(record, (sent.task,))
+        body = StopBody((str(sent.task),), unstarted_only=True)
+        reply = await self._delete(record, body)
         if str(sent.task) in reply.never_started:
             return AttemptEnd(StartEnd.not_started, recovered=True)
         return None
@@ -356,15 +359,14 @@
     ) -> None:
         # Stopping only saves work; the job has ended already.
         with suppress(*_NO_ANSWER):
-            await self._delete(record, tasks)
+            await self._delete(record, StopBody(tuple(map(str, tasks))))
 
     async def _delete(
         self,
         record: EndpointRecord,
-        tasks: tuple[TaskId, ...],
+        body: StopBody,
     ) -> StoppedBody:
         assert self._questions is not None
-        body = StopBody(tuple(map(str, tasks)))
         async with self._questions.delete(
             f'{record.url}/v1/tasks',
             data=msgspec.json.encode(body),
--- a/src/cuminstack/membership/_messages.py
+++ b/src/cuminstack/membership/_messages.py
@@ -24,13 +24,13 @@
         version: Version of the sheet that it has in force.
         digest: Digest of that sheet.
         stamp: Stamp of its endpoint table.
-        free: Slots that it could start a task in now.
+        load: What its dispatch policy tells the others, encoded.
     """
 
     version: int = 0
     digest: bytes = b''
     stamp: int = 0
-    free: int = 0
+    load: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cuminstack/metrics/_histograms.py
+++ b/src/cuminstack/metrics/_histograms.py
@@ -26,7 +26,7 @@
 _FAR_TAIL: Final = 99.9
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class BadHistogram(Exception):
     """An encoded histogram that can't be read."""
 
--- a/src/cuminstack/node/_peers.py
+++ b/src/cuminstack/node/_peers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from cuminstack import wire
 from cuminstack.core import Instance, InstanceId
 from cuminstack.endpoints import Directory
 from cuminstack.membership import (
@@ -17,7 +18,7 @@
 from cuminstack.node._intake import IntakeDesk
 from cuminstack.node._routing import Effects, on_effect, on_message
 from cuminstack.node._sheets import SheetDesk
-from cuminstack.slots import Policy
+from cuminstack.slots import Policy, SlotSummary
 
 #: Pause between two comparisons with what peers advertised, in seconds.
 _COMPARE_SECONDS: Final = 0.5
@@ -88,7 +89,7 @@
             version=sheet.version,
             digest=sheet.digest,
             stamp=self._endpoints.version,
-            free=self._policy.free_slots,
+            load=wire.encode(self._policy.summary),
         )
         self._membership.advertise(summary)
         effects: Effects = self._membership.tick(now=now)
@@ -114,11 +115,7 @@
     @on_effect(PeerSummary)
     def _peer_summary(self, effect: PeerSummary, *, now: float) -> Effects:
         self._advertised[effect.sender] = effect.summary
-        self._policy.observe_hint(
-            effect.sender,
-            effect.summary.free,
-            now=now,
-        )
+        self._observe_load(effect, now=now)
         return (
             *self._compare(effect.sender, now=now),
             *self._sheets.observe_peer(
@@ -150,6 +147,15 @@
             RoutableChanged(effect.routable, lost),
         )
 
+    def _observe_load(self, effect: PeerSummary, *, now: float) -> None:
+        try:
+            load = wire.decode(effect.summary.load)
+        except wire.BadFrame:
+            # A peer of another version; its slots are found by asking.
+            return
+        if isinstance(load, SlotSummary):
+            self._policy.observe_summary(effect.sender, load, now=now)
+
     def _lose(self, name: InstanceId, *, now: float) -> Effects:
         """End what depends on a process that is gone.
 
--- a/src/cuminstack/settings/_consistency.py
+++ b/src/cuminstack/settings/_consistency.py
@@ -32,6 +32,8 @@
         ('heartbeat_ms', 'suspect_ms'),
         ('suspect_ms', 'gone_ms'),
         ('announce_ms', 'endpoint_lease_ms'),
+        # Else a start that waits for its connection is asked after.
+        ('connect_ms', 'silent_floor_ms'),
     )
     for low, high in orders:
         found = getattr(timeouts, high)
--- a/src/cuminstack/settings/_faults.py
+++ b/src/cuminstack/settings/_faults.py
@@ -56,7 +56,7 @@
     """The value contradicts another one."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class SettingsFaults(Exception):
     """A settings file is at fault.
 
--- a/src/cuminstack/settings/_values.py
+++ b/src/cuminstack/settings/_values.py
@@ -16,7 +16,7 @@
 _MAX_PORT: Final = 65535
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class NotReadable(Exception):
     """A text is no value of a type; says what would be one."""
 
--- a/src/cuminstack/sheet/_faults.py
+++ b/src/cuminstack/sheet/_faults.py
@@ -55,7 +55,7 @@
     faults: tuple[SheetFault, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class BadCell(Exception):
     """A cell that can't be read."""
 
--- a/src/cuminstack/slots/_base.py
+++ b/src/cuminstack/slots/_base.py
@@ -12,6 +12,7 @@
     TaskId,
 )
 from cuminstack.slots._chance import Chance
+from cuminstack.slots._messages import SlotSummary
 from cuminstack.slots._policy import Effects, MemberTerms, QueuedTask
 from cuminstack.slots._queue import TaskClass, TaskQueue, class_of
 
@@ -128,23 +129,23 @@
         return ()
 
     @property
-    def free_slots(self) -> int:
-        """None that others could be told of: nothing is leased."""
-        return 0
+    def summary(self) -> SlotSummary:
+        """Nothing that others could use: nothing is leased."""
+        return SlotSummary()
 
     @property
     def unused_leases(self) -> int:
         """None, as nothing is leased."""
         return 0
 
-    def observe_hint(
+    def observe_summary(
         self,
         instance: InstanceId,
-        free_slots: int,
+        summary: SlotSummary,
         *,
         now: float,
     ) -> None:
-        """Ignore hints, as nothing is borrowed."""
+        """Ignore summaries, as nothing is borrowed."""
 
     def leaving(self, *, now: float) -> Effects:
         """Hand nothing over, as nothing is leased."""
--- a/src/cuminstack/slots/_messages.py
+++ b/src/cuminstack/slots/_messages.py
@@ -78,6 +78,7 @@
     age: float
 
 
+@wire.message('slots.summary')
 @dataclass(frozen=True, slots=True)
 class SlotSummary:
     """What heartbeats carry for the policy.
@@ -88,8 +89,8 @@
         uses: Use of the members that run tasks there.
     """
 
-    free: int
-    busy: int
+    free: int = 0
+    busy: int = 0
     uses: tuple[Use, ...] = ()
 
 
--- a/src/cuminstack/slots/_policy.py
+++ b/src/cuminstack/slots/_policy.py
@@ -20,6 +20,7 @@
     StartTask,
     TaskId,
 )
+from cuminstack.slots._messages import SlotSummary
 
 Effect = Send | StartTask
 Effects = tuple[Effect, ...]
@@ -150,18 +151,18 @@
     ) -> Effects:
         """Bound the tasks that are run at an endpoint; none lifts it."""
 
-    def observe_hint(
+    @property
+    def summary(self) -> SlotSummary:
+        """What heartbeats should carry to `observe_summary`."""
+
+    def observe_summary(
         self,
         instance: InstanceId,
-        free_slots: int,
+        summary: SlotSummary,
         *,
         now: float,
     ) -> None:
-        """Take the count of free slots that a heartbeat carried."""
-
-    @property
-    def free_slots(self) -> int:
-        """Free slots that this instance can tell of, for heartbeats."""
+        """Take the summary that a heartbeat carried."""
 
     @property
     def unused_leases(self) -> int:
--- a/src/cuminstack/wire/_codec.py
+++ b/src/cuminstack/wire/_codec.py
@@ -25,7 +25,7 @@
 _names: dict[type[Any], str] = {}
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class BadFrame(Exception):
     """A frame that can't be read; the link it came on must be closed."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -112,7 +112,7 @@
         assert nine.network.frames - before == 20 * 9 * degree
 
     def test_summary_reaches_neighbours(self, nine: Deployment) -> None:
-        summary = Summary(7, b'12345678', 3, 16)
+        summary = Summary(7, b'12345678', 3, b'load')
         nine.parts['a1'].advertise(summary)
         nine.run(2)
         told = {
