--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -9,9 +9,10 @@
 
 from cuminstack import wire
 from cuminstack.core import EndpointRecord, InstanceId, JobId, Send
+from cuminstack.daemon._endpoint_replies import AttemptEnd
 from cuminstack.daemon._links import PeerLink
 from cuminstack.daemon._observer import Observer
-from cuminstack.daemon._sender import AttemptEnd, TaskSender
+from cuminstack.daemon._sender import TaskSender
 from cuminstack.jobs import (
     JobEnded,
     JobRequest,
--- a/src/cuminstack/daemon/_observer.py
+++ b/src/cuminstack/daemon/_observer.py
@@ -6,7 +6,7 @@
 
 from cuminstack import wire
 from cuminstack.core import InstanceId, JobId, ServiceRef, TaskId
-from cuminstack.daemon._sender import AttemptEnd
+from cuminstack.daemon._endpoint_replies import AttemptEnd
 from cuminstack.jobs import (
     Complete,
     JobEnded,
