--- a/src/cuminstack/slots/_baselines.py
+++ b/src/cuminstack/slots/_baselines.py
@@ -15,10 +15,10 @@
     Instance,
     InstanceId,
     Send,
+    rendezvous_order,
 )
 from cuminstack.slots._base import BasePolicy
 from cuminstack.slots._policy import Effects, policy
-from cuminstack.slots._rendezvous import rank
 
 #: Between two reports of an instance's load, in seconds.
 _REPORT_SECONDS: Final = 0.1
@@ -40,7 +40,7 @@
         return min(open_endpoints, key=self._load)
 
     def _limit(self, record: EndpointRecord) -> int:
-        order = rank(record.endpoint, self._alive)
+        order = rendezvous_order(record.endpoint, self._alive)
         every, rest = divmod(record.slots, len(order))
         return every + (order.index(self._own.instance) < rest)
 
--- a/src/cuminstack/slots/_owners.py
+++ b/src/cuminstack/slots/_owners.py
@@ -2,8 +2,13 @@
 
 from collections.abc import Sequence
 
-from cuminstack.core import EndpointRecord, Instance, InstanceId, ZoneName
-from cuminstack.slots._rendezvous import rank
+from cuminstack.core import (
+    EndpointRecord,
+    Instance,
+    InstanceId,
+    ZoneName,
+    rendezvous_order,
+)
 
 
 class Owners:
@@ -58,7 +63,7 @@
                 for peer in self._alive.values()
                 if peer.zone == zone
             ]
-            order = rank(zone, local)
-            rest = rank(zone, set(self._alive) - set(local))
+            order = rendezvous_order(zone, local)
+            rest = rendezvous_order(zone, set(self._alive) - set(local))
             self._ranks[zone] = order + rest
         return self._ranks[zone]
