Choose claim replicas by the shared rendezvous hashing

Cause: a third copy of the same hashing stood in the claims. Change: the shared one; which replicas a job has changes with it, nothing else. Result: 206 tests of claims, their specification and whole nodes pass.

--- a/src/cuminstack/claims/_view.py
+++ b/src/cuminstack/claims/_view.py
@@ -4,19 +4,15 @@
 alive, so a partition doesn't change them.
 """
 
-import hashlib
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from cuminstack.core import Instance, InstanceId, JobId
+from cuminstack.core import Instance, InstanceId, JobId, rendezvous_score
 
 #: Replicas of a claim, where there are as many instances.
 _REPLICAS: Final = 3
 
-#: Bytes of a rendezvous score.
-_SCORE_BYTES: Final = 8
-
 Group = tuple[InstanceId, ...]
 
 
@@ -64,9 +60,10 @@
     They are the best instances of the best zones; where there are fewer
     zones than replicas, the best of the other instances fill up.
     """
+    key = f'{job.member}/{job.key}'
     ranked = sorted(
         instances,
-        key=lambda instance: _score(job, instance.instance),
+        key=lambda instance: rendezvous_score(key, instance.instance),
         reverse=True,
     )
     best: dict[str, Instance] = {}
@@ -88,8 +85,3 @@
 ) -> bool:
     """Tell whether a majority of each group voted."""
     return all(is_majority(votes, group) for group in groups)
-
-
-def _score(job: JobId, instance: InstanceId) -> bytes:
-    text = f'{job.member}/{job.key}/{instance}'
-    return hashlib.blake2b(text.encode(), digest_size=_SCORE_BYTES).digest()
