--- a/src/cuminstack/daemon/_callers.py
+++ b/src/cuminstack/daemon/_callers.py
@@ -102,7 +102,8 @@
             return outcome_response(job, found.outcome)
         if found.running:
             return _running_response(job)
-        raise BadRequest(HTTPStatus.NOT_FOUND, 'unknown-job')
+        # An instance that was not reached may know of it, or have.
+        raise BadRequest(HTTPStatus.NOT_FOUND, 'unknown-job', not_run=False)
 
     async def _cancel(self, request: web.Request) -> web.Response:
         job = _job_of(request)
--- a/src/cuminstack/daemon/_problems.py
+++ b/src/cuminstack/daemon/_problems.py
@@ -77,6 +77,7 @@
         name: str,
         *,
         detail: str = '',
+        not_run: bool = True,
         field: str = '',
     ) -> None:
         super().__init__(name, detail, field)
@@ -84,6 +85,7 @@
             name,
             status,
             detail=detail,
+            not_run=not_run,
             field=field,
         )
 
--- a/src/cuminstack/daemon/_views.py
+++ b/src/cuminstack/daemon/_views.py
@@ -65,6 +65,9 @@
             policy=self._settings.dispatch.policy,
             sheet=self._sheet(),
             load=self._load(),
+            votes=self._node.sheets.register.votes,
+            store_failed=self._node.sheets.register.store_failed,
+            claims_whole=self._node.claims.is_whole,
             instances=self._instances(),
             log_lines_dropped=self._output.dropped,
         )
--- a/src/cuminstack/node/_claims.py
+++ b/src/cuminstack/node/_claims.py
@@ -76,6 +76,11 @@
         self._retries: dict[JobId, _Retry] = {}
         self._leased: set[JobId] = set()
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the claim replica here votes on every job."""
+        return self._claims.is_whole
+
     def may_start(self, job: JobId, *, now: float) -> bool:
         """Tell whether this instance may still start tasks of a job.
 
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -179,6 +179,11 @@
         """The sheet in force."""
         return self._sheets
 
+    @property
+    def claims(self) -> ClaimDesk:
+        """The claims on jobs."""
+        return self._claims
+
     @property
     def health(self) -> HealthDesk:
         """How endpoints do."""
--- a/src/cuminstack/queries/_shapes.py
+++ b/src/cuminstack/queries/_shapes.py
@@ -109,6 +109,11 @@
         policy: Name of its dispatch policy.
         sheet: The sheet that it applies.
         load: What it has to do.
+        votes: Whether it votes on the sheet; a replica that lost its disk
+            does not until it has recovered.
+        store_failed: Whether its last sync to the disk failed.
+        claims_whole: Whether it votes on claims; after a restart it first
+            catches up, or waits for a claim's lifetime.
         instances: All instances that it knows, itself included.
         log_lines_dropped: Lines of the log that could not be written.
     """
@@ -123,6 +128,9 @@
     policy: str = ''
     sheet: SheetView = field(default_factory=SheetView)
     load: LoadView = field(default_factory=LoadView)
+    votes: bool = False
+    store_failed: bool = False
+    claims_whole: bool = True
     instances: tuple[InstanceView, ...] = ()
     log_lines_dropped: int = 0
 
