Record outcomes in batches of half a second

Change: outcomes are collected for 0.5 s, sent at once while leaving, and no batch outgrows a frame (200 outcomes of 64 KiB in one tick would have). A holder that dies within the half second leaves its resends *failed* instead of the recorded outcome, which stays true. Result: 103 tests of claims, their fuzz and whole nodes pass.

--- a/src/cuminstack/claims/_client.py
+++ b/src/cuminstack/claims/_client.py
@@ -131,6 +131,10 @@
         found = self._attempts.get(job)
         return () if found is None else self._give_up(found, now)
 
+    def stop_collecting(self) -> None:
+        """Send outcomes at once from now on, as this instance leaves."""
+        self._outbox.stop_collecting()
+
     def record_outcome(self, job: JobId, outcome: bytes) -> None:
         """Have the outcome of a job that was claimed here recorded."""
         kept = self._held.pop(job, None)
--- a/src/cuminstack/claims/_outbox.py
+++ b/src/cuminstack/claims/_outbox.py
@@ -13,6 +13,12 @@
 #: Seconds between two of them.
 _RETRY_SECONDS: Final = 1
 
+#: Seconds that outcomes are collected for before they are sent.
+_COLLECT_SECONDS: Final = 0.5
+
+#: Bytes of outcomes in one batch, but for a single larger one.
+_BATCH_BYTES: Final = 1_000_000
+
 
 @dataclass(slots=True)
 class _Batch:
@@ -31,6 +37,12 @@
         self._waiting: dict[InstanceId, list[Settled]] = {}
         self._sent: dict[int, _Batch] = {}
         self._serial = 0
+        self._flushed_at = float('-inf')
+        self._collects = True
+
+    def stop_collecting(self) -> None:
+        """Send each outcome with the next flush, as this instance leaves."""
+        self._collects = False
 
     def put(self, settled: Settled, replicas: Iterable[InstanceId]) -> None:
         """Queue an outcome for some replicas."""
@@ -45,13 +57,26 @@
 
     def flush(self, *, now: float) -> tuple[Send, ...]:
         """Send what is queued, and again what was not confirmed."""
-        fresh = [self._first(to, now) for to in sorted(self._waiting)]
+        if self._collects and now - self._flushed_at < _COLLECT_SECONDS:
+            return tuple(self._again(now))
+        if self._waiting:
+            self._flushed_at = now
+        fresh = [
+            self._first(to, batch, now)
+            for to, waiting in sorted(self._waiting.items())
+            for batch in _batches(waiting)
+        ]
         self._waiting.clear()
         return (*fresh, *self._again(now))
 
-    def _first(self, to: InstanceId, now: float) -> Send:
+    def _first(
+        self,
+        to: InstanceId,
+        settled: tuple[Settled, ...],
+        now: float,
+    ) -> Send:
         self._serial += 1
-        message = Outcomes(self._serial, tuple(self._waiting[to]))
+        message = Outcomes(self._serial, settled)
         self._sent[self._serial] = _Batch(to, message, now)
         return Send(to, message)
 
@@ -67,3 +92,19 @@
             batch.sent_at = now
             sends.append(Send(batch.to, batch.message))
         return sends
+
+
+def _batches(waiting: list[Settled]) -> list[tuple[Settled, ...]]:
+    """Split outcomes so that no batch outgrows a frame."""
+    batches: list[tuple[Settled, ...]] = []
+    batch: list[Settled] = []
+    size = 0
+    for settled in waiting:
+        if batch and size + len(settled.outcome) > _BATCH_BYTES:
+            batches.append(tuple(batch))
+            batch = []
+            size = 0
+        batch.append(settled)
+        size += len(settled.outcome)
+    batches.append(tuple(batch))
+    return batches
--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -27,8 +27,8 @@
 _MILLISECONDS: Final = 1000
 _NANOSECONDS: Final = 1_000_000
 
-#: Time that the last outcomes are given to be written out, in seconds.
-_FLUSH_SECONDS: Final = 0.05
+#: Time that the last outcomes are given to be sent and recorded, in seconds.
+_FLUSH_SECONDS: Final = 0.2
 
 
 class Application:
--- a/src/cuminstack/node/_claims.py
+++ b/src/cuminstack/node/_claims.py
@@ -92,6 +92,10 @@
             now=now,
         )
 
+    def leave(self) -> None:
+        """Record outcomes at once from now on."""
+        self._claims.stop_collecting()
+
     def settle(self, ended: JobEnded) -> None:
         """Record the outcome of a job that was claimed or leased here."""
         self._leased.discard(ended.job)
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -225,6 +225,7 @@
     def drain(self, *, now: float) -> Effects:
         """Refuse new jobs from now on, and hand over what is owned."""
         self._intake.stop_accepting()
+        self._claims.leave()
         effects = (
             *self._membership.leave(now=now),
             *self._policy.leaving(now=now),
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,16 +4,20 @@
 
 import pytest
 
+from cuminstack import wire
 from cuminstack.claims import (
     AlreadyClaimed,
     Answer,
+    Claim,
     Claimed,
     Claims,
     ClaimView,
     Limits,
     NoMajority,
+    Settled,
     replicas,
 )
+from cuminstack.claims._outbox import Outbox
 from cuminstack.core import InstanceId, Send
 from fakes_claims import (
     LIMITS,
@@ -470,3 +474,38 @@
         nine.apply(own, effects, 0)
         nine.run(0.01)
         assert nine.network.frames == 6
+
+
+class TestOutbox:
+    """Outcomes go to the replicas in batches."""
+
+    def settled(self, size: int) -> Settled:
+        claim = Claim(InstanceId('a1'), 1, b'digest', 1)
+        return Settled(make_job('k'), claim, bytes(size), ())
+
+    def test_collects_then_sends_together(self) -> None:
+        outbox = Outbox()
+        peer = InstanceId('b1')
+        outbox.put(self.settled(10), [peer])
+        assert len(outbox.flush(now=0)) == 1
+        outbox.put(self.settled(10), [peer])
+        outbox.put(self.settled(10), [peer])
+        assert not outbox.flush(now=0.4)
+        sends = outbox.flush(now=0.5)
+        assert [len(each.message.settled) for each in sends] == [2]
+
+    def test_leaving_sends_at_once(self) -> None:
+        outbox = Outbox()
+        outbox.put(self.settled(10), [InstanceId('b1')])
+        outbox.flush(now=0)
+        outbox.stop_collecting()
+        outbox.put(self.settled(10), [InstanceId('b1')])
+        assert len(outbox.flush(now=0.01)) == 1
+
+    def test_no_batch_outgrows_a_frame(self) -> None:
+        outbox = Outbox()
+        for _ in range(200):
+            outbox.put(self.settled(65_536), [InstanceId('b1')])
+        sizes = [len(wire.encode(each.message)) for each in outbox.flush(now=0)]
+        assert len(sizes) > 1
+        assert max(sizes) < wire.MAX_FRAME_BYTES
