--- a/tests/fakes_deployment.py
+++ b/tests/fakes_deployment.py
@@ -60,8 +60,8 @@
 TIMING = Timing(interval=0.2, eager=0.6, patient=2)
 
 
-def read_sheet() -> Sheet:
-    sheet = parse_sheet(SHEET)
+def read_sheet(raw: bytes = SHEET) -> Sheet:
+    sheet = parse_sheet(raw)
     assert not isinstance(sheet, SheetFaults)
     return sheet
 
@@ -96,7 +96,9 @@
         zones: int = 3,
         policy: str = 'leases',
         endpoints: int = 3,
+        failing: float = FAILING,
     ) -> None:
+        self.failing = failing
         self.random = random.Random(seed)
         self.now = 1000.0
         self.policy = policy
@@ -124,16 +126,18 @@
     def put_sheet(self) -> None:
         """Put the sheet in force, once the nodes have found each other."""
         self.run(4)
+        self.change_sheet(read_sheet())
+
+    def change_sheet(self, sheet: Sheet) -> None:
+        """Put a sheet in force everywhere."""
         node = next(iter(self.members.values())).node
-        self._perform(
-            node.own,
-            node.put_sheet(read_sheet(), ticket=1, now=self.now),
-        )
+        effects = node.put_sheet(sheet, ticket=sheet.version, now=self.now)
+        self._perform(node.own, effects)
         self.run(3)
         versions = {
             member.node.sheets.sheet.version for member in self.members.values()
         }
-        assert versions == {1}
+        assert versions == {sheet.version}
 
     def submit(
         self,
@@ -278,7 +282,7 @@
         endpoint: FakeEndpoint,
     ) -> None:
         endpoint.running.discard(str(sent.task))
-        failed = self.random.random() < FAILING
+        failed = self.random.random() < self.failing
         end = StartEnd.failed if failed else StartEnd.answered
         self._answer(own, sent, end if endpoint.alive else StartEnd.unknown)
 
