Hold the stop of unstarted tasks by a test

Cause: that a forbidden start spares one that runs was built without a test. Change: a test of the stand-in.

--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -149,6 +149,19 @@
         }
         assert (status, refused) == (500, 503)
 
+    async def test_stop_of_unstarted_spares_running(self) -> None:
+        async with running() as site:
+            first = asyncio.create_task(site.start('m~k~0~1', run_ms=300))
+            await site.state_once('m~k~0~1', 'running')
+            async with site.http.delete(
+                f'{site.url}/v1/tasks',
+                json={'tasks': ['m~k~0~1'], 'unstarted_only': True},
+            ) as response:
+                stopped = await response.json()
+            status, _ = await first
+        assert stopped == {'stopped': [], 'never_started': []}
+        assert status == 200
+
 
 class TestModes:
     """Each misbehaviour is the one that its name says."""
