--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -13,7 +13,7 @@
 from cuminstack.daemon._callers import CallerInterface
 from cuminstack.daemon._driver import Driver, log_rejected
 from cuminstack.daemon._endpoints import EndpointInterface
-from cuminstack.daemon._links import Hello, PeerLink, PeerListener
+from cuminstack.links import Hello, PeerLink, PeerListener
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.daemon._sheets import SheetKeeper
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -10,7 +10,7 @@
 from cuminstack import wire
 from cuminstack.core import EndpointRecord, InstanceId, JobId, Send
 from cuminstack.daemon._endpoint_replies import AttemptEnd
-from cuminstack.daemon._links import PeerLink
+from cuminstack.links import PeerLink
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.jobs import (
--- /dev/null
+++ b/src/cuminstack/document/__init__.py
@@ -0,0 +1,68 @@
+"""A versioned document on replicas that it names itself."""
+
+from cuminstack.document._codec import (
+    BadState,
+    decode_state,
+    encode_state,
+    first_state,
+)
+from cuminstack.document._document import Chance, Document
+from cuminstack.document._messages import (
+    Accept,
+    Accepted,
+    BallotRefused,
+    Chosen,
+    Prepare,
+    Promise,
+)
+from cuminstack.document._outcomes import (
+    Conflict,
+    Done,
+    InForce,
+    NewInForce,
+    Outcome,
+    Overtaken,
+    Persist,
+    Unavailable,
+)
+from cuminstack.document._records import (
+    EMPTY_VALUE,
+    FIRST_DISK,
+    NO_BALLOT,
+    Ballot,
+    DiskId,
+    Replica,
+    ReplicaState,
+    Value,
+)
+
+__all__ = (
+    'EMPTY_VALUE',
+    'FIRST_DISK',
+    'NO_BALLOT',
+    'Accept',
+    'Accepted',
+    'BadState',
+    'Ballot',
+    'BallotRefused',
+    'Chance',
+    'Chosen',
+    'Conflict',
+    'DiskId',
+    'Document',
+    'Done',
+    'InForce',
+    'NewInForce',
+    'Outcome',
+    'Overtaken',
+    'Persist',
+    'Prepare',
+    'Promise',
+    'Replica',
+    'ReplicaState',
+    'Unavailable',
+    'Value',
+    'decode_state',
+    'encode_state',
+    'first_state',
+)
--- /dev/null
+++ b/src/cuminstack/fleet/__init__.py
@@ -0,0 +1,51 @@
+"""How entries and control instances share work, and who dispatches it."""
+
+from cuminstack.fleet._election import SILENCE_SECONDS, Election
+from cuminstack.fleet._entry_desk import (
+    Answer,
+    Answered,
+    Completed,
+    EntryDesk,
+    Failure,
+    MayHaveRun,
+    NotRun,
+)
+from cuminstack.fleet._job_desk import JobDesk, Order
+from cuminstack.fleet._messages import (
+    ControlBeat,
+    Dropped,
+    Ended,
+    EndpointLeft,
+    EndpointNews,
+    EntryBeat,
+    LeaderBeat,
+    Refused,
+    Submit,
+    Taken,
+    Unknown,
+)
+
+__all__ = (
+    'SILENCE_SECONDS',
+    'Answer',
+    'Answered',
+    'Completed',
+    'ControlBeat',
+    'Dropped',
+    'Election',
+    'Ended',
+    'EndpointLeft',
+    'EndpointNews',
+    'EntryBeat',
+    'EntryDesk',
+    'Failure',
+    'JobDesk',
+    'LeaderBeat',
+    'MayHaveRun',
+    'NotRun',
+    'Order',
+    'Refused',
+    'Submit',
+    'Taken',
+    'Unknown',
+)
--- /dev/null
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -0,0 +1,300 @@
+"""The jobs of an entry's callers, and the dispatcher that has them."""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.fleet._election import SILENCE_SECONDS
+from cuminstack.fleet._messages import (
+    Dropped,
+    Ended,
+    EntryBeat,
+    LeaderBeat,
+    Refused,
+    Submit,
+    Taken,
+    Unknown,
+)
+from cuminstack.pool import LEASE_SECONDS, JobRequest, JobState, QueueTerms
+
+#: Seconds that a dispatcher goes on with the jobs of a silent entry.
+ENTRY_LEASE_SECONDS: Final = 0.5
+#: Seconds after the last word of a dispatcher until nothing runs on its
+#: orders: the entry's lease, the lease of the endpoints, and 0.2 s for a
+#: stop, slow clocks and delays on the way.
+_QUIET_SECONDS: Final = ENTRY_LEASE_SECONDS + LEASE_SECONDS + 0.2
+#: Seconds after which a submission without a reply is sent again.
+_RESEND_SECONDS: Final = 0.15
+#: How long a job waits for a dispatcher to be chosen before it is refused.
+#: A takeover takes about half of this.
+LEADERLESS_SECONDS: Final = 1.0
+
+
+class Failure(enum.Enum):
+    """Why a job has no answer of its tasks."""
+
+    deadline = 'deadline'
+    no_dispatcher = 'no_dispatcher'
+    interrupted = 'interrupted'
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """The job ran, and this is how it ended."""
+
+    state: JobState
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """None of its tasks ran, nor will.
+
+    Args:
+        reason: Why, as a word.
+        retry_after: Seconds after which it may be taken.
+    """
+
+    reason: str
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """It is not known how much of it ran."""
+
+    failure: Failure
+
+
+Answer = Completed | NotRun | MayHaveRun
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The final answer for the caller of a job."""
+
+    job: JobKey
+    answer: Answer
+
+
+Effect = Send | Answered
+Effects = tuple[Effect, ...]
+
+
+@dataclass(slots=True)
+class _Pending:
+    request: JobRequest
+    terms: QueueTerms
+    arrived_at: float
+    deadline: float
+    sent_to: InstanceId | None = None
+    sent_at: float = 0
+    taken: bool = False
+    may_run_until: float = 0
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether a dispatcher may have it."""
+        return self.sent_to is not None
+
+
+class EntryDesk:
+    """Hands the jobs of callers to the dispatcher, and keeps them with it.
+
+    Args:
+        now: The present time.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._pending: dict[JobKey, _Pending] = {}
+        self._leader: InstanceId | None = None
+        self._term = 0
+        self._heard_at = now
+        self._stamps: dict[InstanceId, float] = {}
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """The dispatcher, if one was heard of."""
+        return self._leader
+
+    @property
+    def waiting(self) -> int:
+        """Jobs that callers wait for."""
+        return len(self._pending)
+
+    def has_leader(self, *, now: float) -> bool:
+        """Tell whether a dispatcher was heard lately."""
+        silence = now - self._heard_at
+        return self._leader is not None and silence < SILENCE_SECONDS
+
+    def submit(
+        self,
+        request: JobRequest,
+        terms: QueueTerms,
+        *,
+        deadline: float,
+        now: float,
+    ) -> Effects:
+        """Take a job of a caller; one that is known goes on."""
+        known = self._pending.get(request.key)
+        if known is not None:
+            known.deadline = max(known.deadline, deadline)
+            return ()
+        lost_for = now - self._heard_at
+        if lost_for > LEADERLESS_SECONDS or self._leader is None:
+            refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
+            return (Answered(request.key, refusal),)
+        pending = _Pending(request, terms, now, deadline)
+        self._pending[request.key] = pending
+        return self._send(pending, now)
+
+    def drop(self, key: JobKey) -> Effects:
+        """Take that the caller of a job has left."""
+        pending = self._pending.pop(key, None)
+        if pending is None or pending.sent_to is None:
+            return ()
+        return (Send(pending.sent_to, Dropped(key)),)
+
+    def beat_for(self, control: InstanceId, *, version: int) -> EntryBeat:
+        """Give the heartbeat for a control instance."""
+        stamp = self._stamps.get(control, 0)
+        if control != self._leader:
+            return EntryBeat(stamp, version)
+        jobs = tuple(
+            key
+            for key, pending in self._pending.items()
+            if pending.sent_to == control
+        )
+        return EntryBeat(stamp, version, jobs)
+
+    def hear_leader(
+        self,
+        sender: InstanceId,
+        beat: LeaderBeat,
+        *,
+        now: float,
+    ) -> Effects:
+        """Take a heartbeat of a control instance."""
+        self._stamps[sender] = beat.stamp
+        if not beat.term or beat.term < self._term:
+            return ()
+        self._term = beat.term
+        if sender == self._leader:
+            self._heard_at = now
+            return self._resend(now)
+        effects = self._change_leader(sender, now)
+        self._heard_at = now
+        return effects
+
+    def receive(
+        self,
+        sender: InstanceId,
+        reply: Taken | Unknown | Ended | Refused,
+        *,
+        now: float,
+    ) -> Effects:
+        """Take what a dispatcher says of jobs."""
+        match reply:
+            case Taken():
+                self._taken(sender, reply.job)
+            case Unknown():
+                return self._send_again(sender, reply.jobs, now)
+            case Ended():
+                return self._answer(reply.job, Completed(reply.state))
+            case Refused():
+                return self._refused(sender, reply)
+        return ()
+
+    def tick(self, *, now: float) -> Effects:
+        """Do what is due: resends, deadlines, a lost dispatcher."""
+        effects: list[Effect] = []
+        for key, pending in tuple(self._pending.items()):
+            if now >= pending.deadline:
+                effects.extend(self._expire(key, pending))
+        if now - self._heard_at > LEADERLESS_SECONDS:
+            effects.extend(self._give_up_unsent())
+        return (*effects, *self._resend(now))
+
+    def _expire(self, key: JobKey, pending: _Pending) -> Effects:
+        if not pending.was_sent:
+            refusal = NotRun(Failure.deadline.value, LEADERLESS_SECONDS)
+            return self._answer(key, refusal)
+        answer = MayHaveRun(Failure.deadline)
+        dropped = self.drop(key)
+        return (*dropped, Answered(key, answer))
+
+    def _give_up_unsent(self) -> Iterator[Effect]:
+        refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
+        for key, pending in tuple(self._pending.items()):
+            if not pending.was_sent:
+                yield from self._answer(key, refusal)
+
+    def _change_leader(self, leader: InstanceId, now: float) -> Effects:
+        quiet_at = self._heard_at + _QUIET_SECONDS
+        self._leader = leader
+        effects: list[Effect] = []
+        for pending in self._pending.values():
+            if pending.was_sent:
+                pending.may_run_until = max(pending.may_run_until, quiet_at)
+            pending.taken = False
+            effects.extend(self._send(pending, now))
+        return tuple(effects)
+
+    def _resend(self, now: float) -> Effects:
+        if not self.has_leader(now=now):
+            return ()
+        effects: list[Effect] = []
+        for pending in self._pending.values():
+            waited = now - pending.sent_at
+            if not pending.taken and waited > _RESEND_SECONDS:
+                effects.extend(self._send(pending, now))
+        return tuple(effects)
+
+    def _send_again(
+        self,
+        sender: InstanceId,
+        keys: tuple[JobKey, ...],
+        now: float,
+    ) -> Effects:
+        effects: list[Effect] = []
+        for key in keys:
+            pending = self._pending.get(key)
+            if pending is not None and pending.sent_to == sender:
+                pending.taken = False
+                effects.extend(self._send(pending, now))
+        return tuple(effects)
+
+    def _send(self, pending: _Pending, now: float) -> Effects:
+        if self._leader is None or not self.has_leader(now=now):
+            return ()
+        pending.sent_to = self._leader
+        pending.sent_at = now
+        submit = Submit(
+            request=pending.request,
+            terms=pending.terms,
+            waited=now - pending.arrived_at,
+            remaining=pending.deadline - now,
+            held=max(0, pending.may_run_until - now),
+        )
+        return (Send(self._leader, submit),)
+
+    def _taken(self, sender: InstanceId, key: JobKey) -> None:
+        pending = self._pending.get(key)
+        if pending is not None and pending.sent_to == sender:
+            pending.taken = True
+
+    def _refused(self, sender: InstanceId, reply: Refused) -> Effects:
+        """Pass on a refusal, if no other dispatcher may have run the job."""
+        pending = self._pending.get(reply.job)
+        if pending is None or pending.sent_to != sender:
+            return ()
+        if pending.may_run_until:
+            return self._answer(reply.job, MayHaveRun(Failure.interrupted))
+        refusal = NotRun(reply.reason.value, reply.retry_after)
+        return self._answer(reply.job, refusal)
+
+    def _answer(self, key: JobKey, answer: Answer) -> Effects:
+        if self._pending.pop(key, None) is None:
+            return ()
+        return (Answered(key, answer),)
--- /dev/null
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -0,0 +1,174 @@
+"""The dispatcher's side of the jobs that entries hand over."""
+
+from collections.abc import Iterator
+
+from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.fleet._entry_desk import ENTRY_LEASE_SECONDS
+from cuminstack.fleet._messages import (
+    Dropped,
+    Ended,
+    EntryBeat,
+    Refused,
+    Submit,
+    Taken,
+    Unknown,
+)
+from cuminstack.pool import (
+    Dispatcher,
+    EndpointReport,
+    Hold,
+    JobEnded,
+    JobRefused,
+    Noted,
+    StartRun,
+    StopRun,
+    Submission,
+)
+
+Order = StartRun | StopRun | Hold
+Effect = Order | Send | Noted
+Effects = tuple[Effect, ...]
+
+
+class JobDesk:
+    """Keeps jobs only for entries that are known to wait for them.
+
+    An entry's lease counts from the newest stamp of ours that it sent back,
+    so that a heartbeat that was held up on its way renews nothing.
+
+    Args:
+        dispatcher: Decides what runs where.
+    """
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._leases: dict[InstanceId, float] = {}
+        self._jobs: dict[InstanceId, set[JobKey]] = {}
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """What decides where tasks run."""
+        return self._dispatcher
+
+    def leased(self, *, now: float) -> tuple[InstanceId, ...]:
+        """List the entries whose leases hold."""
+        return tuple(name for name, end in self._leases.items() if now < end)
+
+    def observe(self, report: EndpointReport, *, now: float) -> Effects:
+        """Take a heartbeat of an endpoint."""
+        return self.convey(self._dispatcher.observe(report, now=now))
+
+    def submit(
+        self,
+        entry: InstanceId,
+        submit: Submit,
+        *,
+        now: float,
+    ) -> Effects:
+        """Take a job of an entry."""
+        key = submit.request.key
+        self._leases.setdefault(entry, now + ENTRY_LEASE_SECONDS)
+        self._jobs.setdefault(entry, set()).add(key)
+        submission = Submission(
+            request=submit.request,
+            terms=submit.terms,
+            entry=entry,
+            arrived_at=now - submit.waited,
+            deadline=now + submit.remaining,
+            held_until=now + submit.held if submit.held else 0,
+        )
+        effects = self.convey(self._dispatcher.submit(submission, now=now))
+        if self._dispatcher.knows(key):
+            return (Send(entry, Taken(key)), *effects)
+        return effects
+
+    def drop(
+        self, entry: InstanceId, dropped: Dropped, *, now: float
+    ) -> Effects:
+        """Stop a job whose caller has left."""
+        mine = self._jobs.get(entry, set())
+        if dropped.job not in mine:
+            return ()
+        mine.discard(dropped.job)
+        if self._dispatcher.entry_of(dropped.job) != entry:
+            return ()
+        return self.convey(self._dispatcher.drop(dropped.job, now=now))
+
+    def hear(
+        self,
+        entry: InstanceId,
+        beat: EntryBeat,
+        *,
+        now: float,
+    ) -> Effects:
+        """Take the heartbeat of an entry."""
+        end = beat.stamp + ENTRY_LEASE_SECONDS
+        self._leases[entry] = max(end, self._leases.get(entry, 0))
+        if beat.jobs is None:
+            return ()
+        return (
+            *self._drop_unlisted(entry, frozenset(beat.jobs), now),
+            *self._find_unknown(entry, beat.jobs),
+        )
+
+    def tick(self, *, now: float) -> Effects:
+        """Stop the jobs of entries whose lease has ended."""
+        effects: list[Effect] = []
+        for entry, end in tuple(self._leases.items()):
+            if now >= end:
+                effects.extend(self._drop_unlisted(entry, frozenset(), now))
+                self._jobs.pop(entry, None)
+                self._leases.pop(entry)
+        return tuple(effects)
+
+    def convey(self, effects: Iterator[object] | tuple[object, ...]) -> Effects:
+        """Turn the ends of jobs into messages to their entries."""
+        return tuple(self._convey_each(effects))
+
+    def _convey_each(
+        self,
+        effects: Iterator[object] | tuple[object, ...],
+    ) -> Iterator[Effect]:
+        for effect in effects:
+            match effect:
+                case JobEnded():
+                    self._forget(effect.entry, effect.job)
+                    ended = Ended(effect.job, effect.state)
+                    yield Send(effect.entry, ended)
+                case JobRefused():
+                    self._forget(effect.entry, effect.job)
+                    refused = Refused(
+                        effect.job,
+                        effect.reason,
+                        effect.retry_after,
+                    )
+                    yield Send(effect.entry, refused)
+                case StartRun() | StopRun() | Hold() | Noted():
+                    yield effect
+
+    def _forget(self, entry: InstanceId, key: JobKey) -> None:
+        self._jobs.get(entry, set()).discard(key)
+
+    def _drop_unlisted(
+        self,
+        entry: InstanceId,
+        listed: frozenset[JobKey],
+        now: float,
+    ) -> Iterator[Effect]:
+        for key in self._jobs.get(entry, set()) - listed:
+            yield from self.drop(entry, Dropped(key), now=now)
+
+    def _find_unknown(
+        self,
+        entry: InstanceId,
+        keys: tuple[JobKey, ...],
+    ) -> Iterator[Effect]:
+        unknown: list[JobKey] = []
+        for key in keys:
+            state = self._dispatcher.answer_of(key)
+            if state is not None:
+                yield Send(entry, Ended(key, state))
+            elif not self._dispatcher.knows(key):
+                unknown.append(key)
+        if unknown:
+            yield Send(entry, Unknown(tuple(unknown)))
--- a/src/cuminstack/daemon/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -64,6 +64,8 @@
         longest_pause: Seconds between two tries to dial, at most.
         refused: Called when the peer's address refuses a connection, as
             that of a process that has ended does.
+        ping_seconds: Pause between two pings of an idle link, and the wait
+            for an answer.
     """
 
     def __init__(
@@ -73,7 +75,9 @@
         *,
         longest_pause: float,
         refused: Callable[[], None],
+        ping_seconds: float = _PING_SECONDS,
     ) -> None:
+        self._ping_seconds = ping_seconds
         self._refused = refused
         self._address = address
         self._hello = hello
@@ -117,8 +121,8 @@
                 proxy=None,
                 open_timeout=_OPEN_SECONDS,
                 close_timeout=_CLOSE_SECONDS,
-                ping_interval=_PING_SECONDS,
-                ping_timeout=_PING_SECONDS,
+                ping_interval=self._ping_seconds,
+                ping_timeout=self._ping_seconds,
                 max_size=wire.MAX_FRAME_BYTES,
             )
         except ConnectionRefusedError:
@@ -158,14 +162,14 @@
     """Accepts links of peers and hands on their messages.
 
     Args:
-        known: Instances that may open a link.
+        known: Instances that may open a link; None for any.
         receive: Called with each message.
         reject: Called when a link is closed because of what came on it.
     """
 
     def __init__(
         self,
-        known: frozenset[InstanceId],
+        known: frozenset[InstanceId] | None,
         *,
         receive: Receiver,
         reject: Rejecter,
@@ -207,9 +211,11 @@
 
     def _identify(self, frame: str | bytes) -> InstanceId:
         hello = _decode(frame)
-        if not isinstance(hello, Hello) or hello.instance not in self._known:
+        if not isinstance(hello, Hello):
             raise UnexpectedPeer(repr(hello))
-        return hello.instance
+        if self._known is None or hello.instance in self._known:
+            return hello.instance
+        raise UnexpectedPeer(repr(hello))
 
 
 def _decode(frame: str | bytes) -> Any:
--- /dev/null
+++ b/src/cuminstack/platform/_operators.py
@@ -0,0 +1,88 @@
+"""What workers and operators speak to a control instance."""
+
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import web
+
+from cuminstack.core import EndpointId
+from cuminstack.document import Conflict, Unavailable
+from cuminstack.logs import log_event
+from cuminstack.platform._desired_state import (
+    InvalidState,
+    canonical_body,
+    decode_state,
+)
+from cuminstack.platform._workers import BadReport, decode_heartbeat
+from cuminstack.roles import ControlRole
+from cuminstack.settings import LogLevel
+
+#: Largest desired state that is read, in bytes; 700 routes take 200 KB.
+_MAX_STATE_BYTES: Final = 8_388_608
+
+
+class ControlFront:
+    """Answers workers and operators at a control instance."""
+
+    def __init__(self, role: ControlRole) -> None:
+        self._role = role
+
+    def make_app(self) -> web.Application:
+        """Give the application that serves them."""
+        app = web.Application(client_max_size=_MAX_STATE_BYTES)
+        app.router.add_post('/api/Instances.Heartbeat/{id}', self._heartbeat)
+        app.router.add_post('/api/Instances.Deregister/{id}', self._leave)
+        app.router.add_post('/api/Config.Replace', self._replace)
+        app.router.add_get('/api/Config.Read', self._read)
+        return app
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        worker = request.match_info['id']
+        body = await request.read()
+        try:
+            report = decode_heartbeat(worker, body)
+        except BadReport as error:
+            log_event(
+                'worker.bad_heartbeat',
+                LogLevel.warning,
+                worker=worker,
+                error=error,
+            )
+            return web.Response(status=HTTPStatus.BAD_REQUEST)
+        self._role.observe(report)
+        return web.json_response({})
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        worker = request.match_info['id']
+        log_event('worker.left', LogLevel.info, worker=worker)
+        self._role.endpoint_left(EndpointId(worker))
+        return web.json_response({})
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        try:
+            body = canonical_body(await request.read())
+            version = decode_state(body).version
+        except InvalidState as error:
+            log_event('desired_state.invalid', LogLevel.warning, error=error)
+            return web.Response(status=HTTPStatus.BAD_REQUEST)
+        outcome = await self._role.submit(version, body)
+        log_event(
+            'desired_state.submitted',
+            LogLevel.info,
+            version=version,
+            outcome=type(outcome).__name__,
+        )
+        if isinstance(outcome, Conflict):
+            return web.Response(status=HTTPStatus.CONFLICT)
+        if isinstance(outcome, Unavailable):
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return web.json_response({})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        outcome = await self._role.read()
+        if isinstance(outcome, Unavailable) or not outcome.value.version:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return web.Response(
+            body=outcome.value.body,
+            content_type='application/json',
+        )
--- /dev/null
+++ b/src/cuminstack/platform/_program.py
@@ -0,0 +1,141 @@
+"""The programs of the platform: an entry and a control instance."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Final
+
+from aiohttp import web
+
+from cuminstack.logs import LogOutput, log_event
+from cuminstack.platform._front import Front
+from cuminstack.platform._operators import ControlFront
+from cuminstack.platform._settings import (
+    SETTINGS_VARIABLE,
+    BadSettings,
+    PlatformSettings,
+    load_settings,
+)
+from cuminstack.platform._worker_client import WorkerClient
+from cuminstack.roles import ControlRole, EntryRole
+from cuminstack.settings import Address
+
+_EXIT_BAD_SETTINGS: Final = 2
+#: The balancer asks each second, and takes an entry out after two misses.
+_OUT_OF_ROTATION_SECONDS: Final = 2.5
+#: Seconds of the grace that are left for closing down.
+_CLOSING_SECONDS: Final = 0.7
+#: Pause between two looks at the jobs that are left.
+_LOOK_SECONDS: Final = 0.05
+#: Seconds that another instance takes to take over from a leaving one.
+_HANDOVER_SECONDS: Final = 0.5
+#: Seconds that requests in progress may take once no job is left.
+_SHUTDOWN_SECONDS: Final = 0.2
+
+Program = Callable[[PlatformSettings, asyncio.Event], 'asyncio.Future[None]']
+
+
+async def _listen(
+    app: web.Application,
+    address: Address,
+    *,
+    cancels: bool = False,
+) -> web.AppRunner:
+    """Serve an application.
+
+    Args:
+        app: The application.
+        address: Where.
+        cancels: Whether a handler is cancelled when its caller leaves.
+    """
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=cancels,
+        shutdown_timeout=_SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port).start()
+    return runner
+
+
+async def serve_entry(settings: PlatformSettings, ended: asyncio.Event) -> None:
+    """Run an entry until it is told to end."""
+    if settings.callers is None or settings.readiness is None:
+        raise BadSettings('an entry needs addresses for callers')
+    front = Front()
+    role = EntryRole(settings.role, new_value=front.apply)
+    front.attach(role)
+    await role.start()
+    runners = (
+        await _listen(front.make_app(), settings.callers, cancels=True),
+        await _listen(front.make_readiness_app(), settings.readiness),
+    )
+    await ended.wait()
+    front.drain()
+    await _drain(role, settings.grace - _CLOSING_SECONDS)
+    for runner in runners:
+        await runner.cleanup()
+    await role.stop()
+
+
+async def _drain(role: EntryRole, seconds: float) -> None:
+    """Wait until callers go elsewhere and no job is left."""
+    loop = asyncio.get_running_loop()
+    least = loop.time() + min(seconds, _OUT_OF_ROTATION_SECONDS)
+    most = loop.time() + seconds
+    while loop.time() < least or (role.open_jobs and loop.time() < most):
+        await asyncio.sleep(_LOOK_SECONDS)
+
+
+async def serve_control(
+    settings: PlatformSettings,
+    ended: asyncio.Event,
+) -> None:
+    """Run a control instance until it is told to end."""
+    if settings.control is None:
+        raise BadSettings('a control instance needs an address for control')
+    client = WorkerClient()
+    await client.open()
+    role = ControlRole(settings.role, client=client)
+    await role.start()
+    runner = await _listen(ControlFront(role).make_app(), settings.control)
+    await ended.wait()
+    role.leave()
+    await asyncio.sleep(_HANDOVER_SECONDS)
+    await runner.cleanup()
+    await role.stop()
+    await client.close()
+
+
+_PROGRAMS: Final = {'entry': serve_entry, 'control': serve_control}
+
+
+async def _serve(name: str, settings: PlatformSettings) -> None:
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    # Seeds only matter at the start; later ones are learned from the others.
+    loop.add_signal_handler(signal.SIGHUP, _note_hang_up)
+    log_event('instance.started', role=name, own=settings.role.own)
+    await _PROGRAMS[name](settings, ended)
+    log_event('instance.ended', role=name, own=settings.role.own)
+
+
+def _note_hang_up() -> None:
+    log_event('settings.kept', cause='SIGHUP')
+
+
+def main() -> None:
+    """Run the program that the command line names."""
+    name = sys.argv[-1]
+    try:
+        settings = load_settings(os.environ.get(SETTINGS_VARIABLE, ''))
+    except BadSettings as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(_EXIT_BAD_SETTINGS)
+    output = LogOutput(sys.stdout)
+    output.open()
+    asyncio.run(_serve(name, settings))
--- /dev/null
+++ b/src/cuminstack/pool/_endpoint.py
@@ -0,0 +1,139 @@
+"""One endpoint, as the dispatcher that writes to it sees it."""
+
+import enum
+from dataclasses import dataclass
+
+from cuminstack.pool._clock import EndpointClock
+from cuminstack.pool._health import EndpointHealth
+from cuminstack.pool._records import (
+    NO_ROOM,
+    EndpointReport,
+    Hold,
+    Room,
+    RunKey,
+)
+
+
+class Phase(enum.Enum):
+    """What a dispatcher may do with an endpoint.
+
+    Only a ready endpoint gets starts.  Each other phase ends with the answer
+    to a hold that carries a token that none of its runs was ordered with.
+    """
+
+    joining = 'joining'
+    ready = 'ready'
+    voiding = 'voiding'
+    silent = 'silent'
+    gone = 'gone'
+
+
+@dataclass(slots=True)
+class Run:
+    """A run that takes room at an endpoint, or may come to.
+
+    Args:
+        key: Which.
+        needs: Room that it takes.
+        sent_at: When its start was ordered.
+        confirmed_at: When it was known to have begun; None if it isn't.
+        stopping_at: When its stop was ordered last; None if it wasn't.
+        percent: How far it was when it was last seen.
+        moved_at: When that last changed.
+    """
+
+    key: RunKey
+    needs: Room
+    sent_at: float
+    confirmed_at: float | None = None
+    stopping_at: float | None = None
+    percent: float = 0
+    moved_at: float = 0
+
+
+class Endpoint:
+    """State of one endpoint at its dispatcher.
+
+    Args:
+        report: Its newest heartbeat.
+        token: Fencing token of the orders to it.
+        now: The present time.
+    """
+
+    def __init__(
+        self,
+        report: EndpointReport,
+        *,
+        token: int,
+        now: float,
+    ) -> None:
+        self.report = report
+        self.lifetime = report.lifetime
+        self.phase = Phase.joining
+        self.token = token
+        self.since = now
+        self.clock = EndpointClock()
+        self.health = EndpointHealth()
+        self.runs: dict[RunKey, Run] = {}
+        self.strangers: dict[RunKey, float] = {}
+        self.last_end = 0
+        self.acknowledged_end = 0
+        self.hold: Hold | None = None
+        self.hold_sent_at: float = 0
+        self.silences = 0
+        self.longest_expiry = 0
+        self.used = NO_ROOM
+
+    @property
+    def free(self) -> Room:
+        """Room that nothing takes, nor may come to take."""
+        return self.report.room.minus(self.used)
+
+    @property
+    def takes_starts(self) -> bool:
+        """Whether a task may be started here now."""
+        return (
+            self.phase is Phase.ready
+            and not self.report.draining
+            and not self.strangers
+        )
+
+    @property
+    def lapses_at(self) -> float:
+        """When nothing that was ordered so far can be running."""
+        return self.clock.surely_passed(self.longest_expiry)
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.key] = run
+        self.used = self.used.plus(run.needs)
+
+    def remove(self, key: RunKey) -> Run | None:
+        """Free the room of a run."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.used = self.used.minus(run.needs)
+        return run
+
+    def clear(self) -> tuple[Run, ...]:
+        """Free all room, as nothing runs here any more."""
+        ended = tuple(self.runs.values())
+        self.runs.clear()
+        self.strangers.clear()
+        self.used = NO_ROOM
+        return ended
+
+    def fence(self, token: int, phase: Phase, *, now: float) -> None:
+        """Void all orders so far, once a hold with this token is answered."""
+        self.token = token
+        self.phase = phase
+        self.since = now
+        self.hold = None
+
+    def begin_lifetime(self, lifetime: int) -> None:
+        """Forget what was known of an earlier lifetime."""
+        self.lifetime = lifetime
+        self.clock = EndpointClock()
+        self.last_end = 0
+        self.acknowledged_end = 0
+        self.longest_expiry = 0
--- /dev/null
+++ b/src/cuminstack/pool/_job_table.py
@@ -0,0 +1,119 @@
+"""The jobs of a dispatcher, from submission until they are forgotten."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from cuminstack.core import JobKey
+from cuminstack.pool._jobs import Job, Submission, Task, TaskState
+from cuminstack.pool._records import (
+    JobEnded,
+    JobState,
+    RunKey,
+    TaskKey,
+)
+from cuminstack.pool._run_times import RunTimes
+
+#: Seconds that an ended job is remembered for.  A caller sends again after
+#: 1.3 s, to an entry that may need as long again to find the dispatcher.
+_MEMORY_SECONDS: Final = 10.0
+#: Run numbers that one term of a dispatcher may use for a task.
+_NUMBERS_OF_TERM: Final = 1000
+
+
+class JobTable:
+    """Jobs by key.
+
+    Args:
+        term: Term of the dispatcher; run numbers of later terms are higher.
+    """
+
+    def __init__(self, *, term: int) -> None:
+        self._first_number = (term - 1) * _NUMBERS_OF_TERM
+        self._jobs: dict[JobKey, Job] = {}
+        self._ended: dict[JobKey, tuple[float, JobState | None, int]] = {}
+        self._times = RunTimes()
+
+    @property
+    def live(self) -> Iterator[Job]:
+        """Jobs that someone waits for."""
+        return (job for job in self._jobs.values() if not job.abandoned)
+
+    def begin_term(self, term: int) -> None:
+        """Number runs of new jobs above those of earlier terms."""
+        self._first_number = (term - 1) * _NUMBERS_OF_TERM
+
+    def find(self, key: JobKey) -> Job | None:
+        """Give a job, abandoned or not."""
+        return self._jobs.get(key)
+
+    def find_task(self, key: TaskKey) -> Task | None:
+        """Give a task of a job."""
+        job = self._jobs.get(key.job)
+        return None if job is None else job.tasks.get(key)
+
+    def answer_of(self, key: JobKey) -> JobState | None:
+        """Give the answer of a job that ended a short while ago."""
+        ended = self._ended.get(key)
+        return None if ended is None else ended[1]
+
+    def add(self, submission: Submission) -> Job:
+        """Take a job; one that is known gets the new entry and deadline."""
+        key = submission.request.key
+        job = self._jobs.get(key)
+        if job is not None:
+            job.submission = submission
+            job.abandoned = False
+            return job
+        _, _, number = self._ended.pop(key, (0, None, 0))
+        number = max(number, self._first_number)
+        queue = submission.terms.name
+        seconds = tuple(
+            self._times.expect(queue, step.estimate)
+            for step in submission.request.steps
+        )
+        job = Job(submission, first_number=number, seconds=seconds)
+        self._jobs[key] = job
+        return job
+
+    def learn(self, job: Job, task: Task, seconds: float) -> None:
+        """Take the run time of a task that is done."""
+        declared = job.steps[task.key.step].estimate
+        self._times.learn(job.terms.name, declared, seconds)
+
+    def end(self, job: Job, state: JobState, *, now: float) -> JobEnded:
+        """Give a job its answer; its runs are to be stopped."""
+        key = job.submission.request.key
+        job.abandoned = True
+        self._remember(job, state, now)
+        return JobEnded(key, job.submission.entry, state)
+
+    def abandon(self, job: Job, *, now: float) -> None:
+        """Take that nobody waits for a job any more."""
+        job.abandoned = True
+        self._remember(job, None, now)
+
+    def settle(self, job: Job) -> None:
+        """Forget an abandoned job once nothing of it runs."""
+        if job.abandoned and not job.runs_anything:
+            self._jobs.pop(job.submission.request.key, None)
+
+    def sweep(self, *, now: float) -> None:
+        """Forget what ended long ago."""
+        old = [
+            key
+            for key, ended in self._ended.items()
+            if now - ended[0] > _MEMORY_SECONDS
+        ]
+        for key in old:
+            self._ended.pop(key)
+
+    def next_run(self, task: Task) -> RunKey:
+        """Give the run of a task that is about to be started."""
+        task.number += 1
+        task.state = TaskState.placed
+        return RunKey(task.key, task.number)
+
+    def _remember(self, job: Job, state: JobState | None, now: float) -> None:
+        key = job.submission.request.key
+        highest = max(task.number for task in job.tasks.values())
+        self._ended[key] = (now, state, highest)
--- /dev/null
+++ b/src/cuminstack/pool/_watch.py
@@ -0,0 +1,171 @@
+"""When an endpoint is asked what runs there, and with which token.
+
+An order without an answer may be carried out seconds later.  So it is voided
+at once: a hold with a higher token on a fresh connection makes the endpoint
+refuse it, and tells what runs.  Where that gets no answer either, the lease
+is not renewed, and what was ordered counts as ended once the endpoint's
+clock has surely passed it.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from cuminstack.pool._endpoint import Endpoint, Phase
+from cuminstack.pool._records import Effect, Hold, Noted, RunKey, StopRun
+from cuminstack.pool._tokens import TokenSource
+
+#: Lease of what runs at an endpoint, in seconds.  Shorter than it takes to
+#: choose another dispatcher, so that a lost one leaves nothing behind.
+LEASE_SECONDS: Final = 0.48
+#: How long a hold waits for an end, in milliseconds: four to a lease.
+_WAIT_MS: Final = 120
+#: Answers take 1 to 3 ms; an order that has none by now is voided.
+_ORDER_PATIENCE: Final = 0.06
+#: The same for a hold, beyond the time that it waits.
+_HOLD_PATIENCE: Final = 0.08
+#: Longest pause between holds that get no answer, in seconds.
+_LONGEST_PAUSE: Final = 0.5
+#: Seconds that an end may stay unacknowledged at an idle endpoint.
+_END_SECONDS: Final = 0.03
+#: Seconds after which a stop that had no effect is sent again.
+_STOP_AGAIN: Final = 0.15
+#: Seconds that a run of an unknown job may wait for an entry to claim it.
+_STRANGER_SECONDS: Final = 0.4
+_MS: Final = 1000.0
+
+
+class EndpointWatch:
+    """Keeps the leases of endpoints and voids orders without an answer.
+
+    Args:
+        term: Number of the dispatcher's term.
+        instance: Number of its instance.
+    """
+
+    def __init__(self, *, term: int, instance: int) -> None:
+        self._instance = instance
+        self._holds = 0
+        self.tokens = TokenSource(term=term, instance=instance)
+
+    def begin_term(self, term: int) -> None:
+        """Give tokens of a later term from now on."""
+        self.tokens = TokenSource(term=term, instance=self._instance)
+
+    def tend(self, endpoint: Endpoint, *, now: float) -> Iterator[Effect]:
+        """Do what is due at one endpoint."""
+        if endpoint.phase is Phase.ready:
+            yield from self._void_overdue(endpoint, now)
+            yield from self._stop_again(endpoint, now)
+        hold = self._next_hold(endpoint, now)
+        if hold is not None:
+            yield hold
+
+    def void(
+        self,
+        endpoint: Endpoint,
+        cause: str,
+        *,
+        now: float,
+    ) -> Iterator[Effect]:
+        """Void all orders that an endpoint has not answered."""
+        endpoint.fence(self.tokens.take(), Phase.voiding, now=now)
+        yield Noted(
+            'endpoint.orders_voided',
+            (
+                ('endpoint', endpoint.report.endpoint),
+                ('cause', cause),
+                ('token', endpoint.token),
+                ('runs', len(endpoint.runs)),
+            ),
+        )
+        hold = self._next_hold(endpoint, now)
+        if hold is not None:
+            yield hold
+
+    def _void_overdue(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
+        if self._is_hold_overdue(endpoint, now):
+            yield from self.void(endpoint, 'hold', now=now)
+            return
+        overdue = any(
+            run.confirmed_at is None and now - run.sent_at > _ORDER_PATIENCE
+            for run in endpoint.runs.values()
+        )
+        if overdue:
+            yield from self.void(endpoint, 'start', now=now)
+
+    def _stop_again(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
+        for run in endpoint.runs.values():
+            stopped = run.stopping_at
+            if stopped is not None and now - stopped > _STOP_AGAIN:
+                run.stopping_at = now
+                yield self._stop(endpoint, run.key)
+        for key, seen_at in endpoint.strangers.items():
+            if now - seen_at > _STRANGER_SECONDS:
+                endpoint.strangers[key] = seen_at + _STOP_AGAIN
+                yield self._stop(endpoint, key)
+
+    def _next_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
+        if endpoint.phase is Phase.ready:
+            return self._ready_hold(endpoint, now)
+        pause = min(_HOLD_PATIENCE * 2**endpoint.silences, _LONGEST_PAUSE)
+        waited = now - endpoint.hold_sent_at
+        if endpoint.hold is not None and waited < pause:
+            return None
+        if endpoint.hold is not None:
+            endpoint.silences = min(endpoint.silences + 1, 4)
+        return self._make_hold(endpoint, now, fresh=True)
+
+    def _ready_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
+        if endpoint.hold is not None:
+            return None
+        if endpoint.runs or endpoint.strangers:
+            expiry = endpoint.clock.expiry_after(LEASE_SECONDS, now=now)
+            endpoint.longest_expiry = max(endpoint.longest_expiry, expiry)
+            return self._make_hold(
+                endpoint,
+                now,
+                expires_ms=expiry,
+                wait_ms=_WAIT_MS,
+            )
+        unacknowledged = endpoint.last_end > endpoint.acknowledged_end
+        if unacknowledged and now - endpoint.hold_sent_at > _END_SECONDS:
+            return self._make_hold(endpoint, now)
+        return None
+
+    def _make_hold(
+        self,
+        endpoint: Endpoint,
+        now: float,
+        *,
+        expires_ms: int | None = None,
+        wait_ms: int = 0,
+        fresh: bool = False,
+    ) -> Hold:
+        self._holds += 1
+        hold = Hold(
+            endpoint=endpoint.report.endpoint,
+            address=endpoint.report.address,
+            number=self._holds,
+            token=endpoint.token,
+            last_end=endpoint.last_end,
+            expires_ms=expires_ms,
+            wait_ms=wait_ms,
+            fresh=fresh,
+        )
+        endpoint.hold = hold
+        endpoint.hold_sent_at = now
+        return hold
+
+    def _is_hold_overdue(self, endpoint: Endpoint, now: float) -> bool:
+        if endpoint.hold is None:
+            return False
+        waited = now - endpoint.hold_sent_at
+        return waited > endpoint.hold.wait_ms / _MS + _HOLD_PATIENCE
+
+    def _stop(self, endpoint: Endpoint, key: RunKey) -> StopRun:
+        return StopRun(
+            endpoint=endpoint.report.endpoint,
+            address=endpoint.report.address,
+            run=key,
+            token=endpoint.token,
+        )
--- /dev/null
+++ b/src/cuminstack/roles/_control.py
@@ -0,0 +1,297 @@
+"""The control instance: endpoints, desired state, and dispatch if it leads."""
+
+import asyncio
+import time
+import zlib
+from typing import Any, Final
+
+from cuminstack.core import EndpointId, InstanceId
+from cuminstack.document import Chosen, Outcome
+from cuminstack.fleet import (
+    SILENCE_SECONDS,
+    ControlBeat,
+    Dropped,
+    Election,
+    EndpointLeft,
+    EndpointNews,
+    EntryBeat,
+    LeaderBeat,
+    Submit,
+)
+from cuminstack.links import Mesh
+from cuminstack.logs import log_event
+from cuminstack.pool import EndpointReport
+from cuminstack.roles._clock import steady_now
+from cuminstack.roles._lead import Lead
+from cuminstack.roles._ports import EndpointClient, RoleSettings
+from cuminstack.roles._register import MESSAGES, RegisterShell
+from cuminstack.settings import LogLevel
+
+#: Seconds between two turns of the clockwork; order time-outs are 60 ms.
+_TICK_SECONDS: Final = 0.02
+#: Turns between heartbeats, so that three fit into the silence after which
+#: an instance counts as lost.
+_TURNS_OF_BEAT: Final = 5
+#: Turns between heartbeats to entries while this instance doesn't lead.
+_TURNS_OF_IDLE_BEAT: Final = 25
+#: Reports older than this, in seconds, are of endpoints that may be gone;
+#: an endpoint sends one each 1.5 s.
+_REPORT_SECONDS: Final = 5.0
+#: Seconds of silence after which an entry is not sent heartbeats any more.
+_ENTRY_SECONDS: Final = 10.0
+
+
+class ControlRole:
+    """The parts of a control instance, and their life cycle.
+
+    Args:
+        settings: What the process is told.
+        client: Carries orders to endpoints.
+    """
+
+    def __init__(
+        self,
+        settings: RoleSettings,
+        *,
+        client: EndpointClient,
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._election = Election(settings.own, now=steady_now())
+        self._lead: Lead | None = None
+        self._controls: dict[InstanceId, float] = {}
+        self._entries: dict[InstanceId, float] = {}
+        self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {}
+        self._turns = 0
+        self._leaves = False
+        self._ticker: asyncio.Task[None] | None = None
+        self._mesh = Mesh(
+            settings.own,
+            incarnation=time.time_ns(),
+            receive=self._receive,
+            reject=_log_rejected,
+        )
+        self._register = RegisterShell(
+            settings,
+            send=self._mesh.send,
+            spread=self._spread,
+        )
+
+    @property
+    def leads(self) -> bool:
+        """Whether this instance dispatches."""
+        return self._lead is not None
+
+    async def start(self) -> None:
+        """Link up with the other control instances."""
+        await self._mesh.start()
+        self._meet_controls(self._settings.controls)
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    def leave(self) -> None:
+        """Have another instance dispatch, before this one ends."""
+        self._leaves = True
+        self._election.leave()
+        now = steady_now()
+        self._follow_election(now)
+        self._beat(now)
+
+    async def stop(self) -> None:
+        """Stop dispatching and close all links."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._resign()
+        await self._mesh.stop()
+
+    def observe(self, report: EndpointReport) -> None:
+        """Take a heartbeat of an endpoint, and pass it on."""
+        self._mesh.send_all(self._controls, EndpointNews(report))
+        self._observe(report)
+
+    def endpoint_left(self, endpoint: EndpointId) -> None:
+        """Take that an endpoint has deregistered, and pass it on."""
+        self._mesh.send_all(self._controls, EndpointLeft(endpoint))
+        self._forget(endpoint)
+
+    async def submit(self, version: int, body: bytes) -> Outcome:
+        """Submit a desired state."""
+        return await self._register.submit(version, body)
+
+    async def read(self) -> Outcome:
+        """Find out which desired state is in force."""
+        return await self._register.read()
+
+    def _meet_controls(self, controls: tuple[InstanceId, ...]) -> None:
+        for control in controls:
+            if control != self._settings.own:
+                self._controls.setdefault(control, 0)
+        self._mesh.meet(controls)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick(steady_now())
+            await asyncio.sleep(_TICK_SECONDS)
+
+    def _tick(self, now: float) -> None:
+        self._turns += 1
+        self._election.tick(weight=self._weight(now), now=now)
+        self._follow_election(now)
+        if self._lead is not None:
+            self._lead.tick(now=now)
+        self._register.tick(self._controls)
+        if self._turns % _TURNS_OF_BEAT == 0:
+            self._beat(now)
+
+    def _weight(self, now: float) -> int:
+        entries = 0
+        if self._lead is not None:
+            entries = len(self._lead.desk.leased(now=now))
+        return entries + len(self._election.live(now=now))
+
+    def _follow_election(self, now: float) -> None:
+        term = self._election.term
+        if not term:
+            self._resign()
+        elif self._lead is None:
+            self._begin(term, now)
+        elif self._lead.term != term:
+            self._lead.begin_term(term, now=now)
+
+    def _begin(self, term: int, now: float) -> None:
+        log_event(
+            'dispatcher.leads',
+            LogLevel.warning,
+            term=term,
+            controls=len(self._election.live(now=now)),
+            endpoints=len(self._reports),
+        )
+        self._lead = Lead(
+            term,
+            instance=zlib.crc32(self._settings.own.encode()),
+            order=self._settings.order,
+            client=self._client,
+            send=self._mesh.send,
+        )
+        for report, heard_at in tuple(self._reports.values()):
+            if now - heard_at < _REPORT_SECONDS:
+                self._lead.observe(report, now=now)
+        self._beat_entries(now)
+
+    def _resign(self) -> None:
+        if self._lead is None:
+            return
+        log_event(
+            'dispatcher.resigned',
+            LogLevel.warning,
+            term=self._lead.term,
+            highest_term=self._election.highest_term,
+        )
+        self._lead.stop()
+        self._lead = None
+
+    def _beat(self, now: float) -> None:
+        controls = self._known_controls(now)
+        beat = ControlBeat(
+            term=max(self._election.term, self._election.highest_term),
+            leads=self._lead is not None,
+            weight=self._weight(now),
+            revision=self._register.revision,
+            controls=controls,
+            leaves=self._leaves,
+        )
+        self._mesh.send_all(self._controls, beat)
+        if self.leads or self._turns % _TURNS_OF_IDLE_BEAT == 0:
+            self._beat_entries(now)
+
+    def _beat_entries(self, now: float) -> None:
+        lead = self._lead
+        beat = LeaderBeat(
+            term=0 if lead is None else lead.term,
+            stamp=now,
+            controls=self._known_controls(now),
+            waiting={} if lead is None else lead.waiting,
+        )
+        for entry, heard_at in tuple(self._entries.items()):
+            if now - heard_at > _ENTRY_SECONDS:
+                self._entries.pop(entry)
+                self._mesh.leave(entry)
+        self._mesh.send_all(self._entries, beat)
+
+    def _known_controls(self, now: float) -> tuple[InstanceId, ...]:
+        return (self._settings.own, *self._election.live(now=now))
+
+    def _receive(self, sender: InstanceId, message: Any) -> None:
+        now = steady_now()
+        match message:
+            case ControlBeat():
+                self._hear_control(sender, message, now)
+            case EntryBeat():
+                self._hear_entry(sender, message, now)
+            case Submit() if self._lead is not None:
+                self._lead.submit(sender, message, now=now)
+            case Dropped() if self._lead is not None:
+                self._lead.drop(sender, message, now=now)
+            case EndpointNews():
+                self._observe(message.report)
+            case EndpointLeft():
+                self._forget(EndpointId(message.endpoint))
+            case Chosen():
+                self._register.learn(message)
+            case _ if isinstance(message, MESSAGES):
+                self._register.receive(sender, message)
+
+    def _hear_control(
+        self,
+        sender: InstanceId,
+        beat: ControlBeat,
+        now: float,
+    ) -> None:
+        silence = now - self._controls.get(sender, 0)
+        if silence > SILENCE_SECONDS:
+            log_event('control.met', LogLevel.info, control=sender)
+        self._meet_controls((sender, *beat.controls))
+        self._controls[sender] = now
+        self._election.hear(sender, beat, now=now)
+        if beat.revision < self._register.revision:
+            self._mesh.send(sender, self._register.news)
+
+    def _hear_entry(
+        self,
+        sender: InstanceId,
+        beat: EntryBeat,
+        now: float,
+    ) -> None:
+        if sender not in self._entries:
+            log_event('entry.met', LogLevel.info, entry=sender)
+            self._mesh.meet((sender,))
+        self._entries[sender] = now
+        if beat.version < self._register.in_force.version:
+            self._mesh.send(sender, self._register.news)
+        if self._lead is not None:
+            self._lead.hear(sender, beat, now=now)
+
+    def _observe(self, report: EndpointReport) -> None:
+        now = steady_now()
+        self._reports[report.endpoint] = (report, now)
+        if self._lead is not None:
+            self._lead.observe(report, now=now)
+
+    def _forget(self, endpoint: EndpointId) -> None:
+        self._reports.pop(endpoint, None)
+        if self._lead is not None:
+            self._lead.forget(endpoint, now=steady_now())
+
+    def _spread(self, chosen: Chosen) -> None:
+        """Tell all control instances, and the entries if this one leads."""
+        self._mesh.send_all(self._controls, chosen)
+        if self._lead is not None:
+            self._mesh.send_all(self._entries, chosen)
+
+
+def _log_rejected(sender: InstanceId | None, error: Exception) -> None:
+    log_event(
+        'link.rejected',
+        LogLevel.warning,
+        sender=sender,
+        error=error,
+    )
--- /dev/null
+++ b/src/cuminstack/roles/_entry.py
@@ -0,0 +1,214 @@
+"""The entry: it holds callers' jobs and hands them to the dispatcher."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Final
+
+from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.document import Chosen, Value
+from cuminstack.fleet import (
+    Answer,
+    Answered,
+    Ended,
+    EntryDesk,
+    LeaderBeat,
+    Refused,
+    Taken,
+    Unknown,
+)
+from cuminstack.links import Mesh
+from cuminstack.logs import log_event
+from cuminstack.pool import JobRequest, QueueTerms
+from cuminstack.roles._clock import steady_now
+from cuminstack.roles._ports import RoleSettings
+from cuminstack.settings import LogLevel
+
+#: Seconds between heartbeats to the dispatcher; a third of the silence
+#: after which it is given up.
+_BEAT_SECONDS: Final = 0.1
+#: Every so many of them also go to the other control instances.
+_BEATS_TO_OTHERS: Final = 5
+_MS: Final = 1000
+
+NewValue = Callable[[Value], None]
+
+
+class EntryRole:
+    """The parts of an entry, and their life cycle.
+
+    Args:
+        settings: What the process is told.
+        new_value: Called with each newer desired state.
+    """
+
+    def __init__(self, settings: RoleSettings, *, new_value: NewValue) -> None:
+        self._settings = settings
+        self._new_value = new_value
+        self._desk = EntryDesk(now=steady_now())
+        self._answers: dict[JobKey, asyncio.Future[Answer]] = {}
+        self._callers: Counter[JobKey] = Counter()
+        self._waiting: dict[str, int] = {}
+        self._version = 0
+        self._beats = 0
+        self._ticker: asyncio.Task[None] | None = None
+        self._mesh = Mesh(
+            settings.own,
+            incarnation=time.time_ns(),
+            receive=self._receive,
+            reject=_log_rejected,
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the desired state here; 0 if there is none."""
+        return self._version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether jobs can be taken now."""
+        return bool(self._version) and self._desk.has_leader(now=steady_now())
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Jobs of which nothing was started, by queue."""
+        return self._waiting
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs that callers wait for."""
+        return self._desk.waiting
+
+    async def start(self) -> None:
+        """Link up with the control instances."""
+        await self._mesh.start()
+        self._mesh.meet(self._settings.controls)
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    async def stop(self) -> None:
+        """Close all links; jobs in progress are dropped."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await self._mesh.stop()
+
+    async def run_job(
+        self,
+        request: JobRequest,
+        terms: QueueTerms,
+        *,
+        seconds: float,
+    ) -> Answer:
+        """Have a job run, and give its answer.
+
+        If the caller of this is cancelled, the job is stopped unless
+        another caller waits for it.
+
+        Args:
+            request: The job.
+            terms: What the desired state says of its queue.
+            seconds: How long its caller waits.
+        """
+        now = steady_now()
+        key = request.key
+        answer = self._answers.get(key)
+        if answer is None:
+            answer = asyncio.get_running_loop().create_future()
+            self._answers[key] = answer
+        self._callers[key] += 1
+        deadline = now + seconds
+        effects = self._desk.submit(request, terms, deadline=deadline, now=now)
+        self._perform(effects)
+        try:
+            return await asyncio.shield(answer)
+        finally:
+            self._leave(key)
+
+    def _leave(self, key: JobKey) -> None:
+        """Take that a caller has its answer, or has left."""
+        self._callers[key] -= 1
+        if self._callers[key] > 0:
+            return
+        self._callers.pop(key)
+        unanswered = self._answers.pop(key, None)
+        if unanswered is not None:
+            unanswered.cancel()
+            log_event('job.caller_left', LogLevel.info, key=key)
+            self._perform(self._desk.drop(key))
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._beat()
+            self._perform(self._desk.tick(now=steady_now()))
+            await asyncio.sleep(_BEAT_SECONDS)
+
+    def _beat(self) -> None:
+        self._beats += 1
+        to_all = self._beats % _BEATS_TO_OTHERS == 0
+        for control in self._mesh.peers:
+            if to_all or control == self._desk.leader:
+                beat = self._desk.beat_for(control, version=self._version)
+                self._mesh.send(control, beat)
+
+    def _receive(self, sender: InstanceId, message: Any) -> None:
+        now = steady_now()
+        match message:
+            case LeaderBeat():
+                self._hear_leader(sender, message, now)
+            case Taken() | Unknown() | Ended() | Refused():
+                self._perform(self._desk.receive(sender, message, now=now))
+            case Chosen():
+                self._apply(message.value)
+
+    def _hear_leader(
+        self,
+        sender: InstanceId,
+        beat: LeaderBeat,
+        now: float,
+    ) -> None:
+        before = self._desk.leader
+        self._mesh.meet((sender, *beat.controls))
+        self._perform(self._desk.hear_leader(sender, beat, now=now))
+        if sender == self._desk.leader:
+            self._waiting = beat.waiting
+        if before != self._desk.leader:
+            log_event(
+                'dispatcher.changed',
+                LogLevel.info,
+                dispatcher=self._desk.leader,
+                before=before,
+                term=beat.term,
+                jobs=self._desk.waiting,
+            )
+
+    def _apply(self, value: Value) -> None:
+        if value.version > self._version:
+            self._version = value.version
+            log_event(
+                'desired_state.applied',
+                LogLevel.info,
+                version=value.version,
+            )
+            self._new_value(value)
+
+    def _perform(self, effects: tuple[Send | Answered, ...]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._mesh.send(effect.to, effect.message)
+                case Answered():
+                    self._answer(effect)
+
+    def _answer(self, answered: Answered) -> None:
+        waiter = self._answers.pop(answered.job, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answered.answer)
+
+
+def _log_rejected(sender: InstanceId | None, error: Exception) -> None:
+    log_event(
+        'link.rejected',
+        LogLevel.warning,
+        sender=sender,
+        error=error,
+    )
