Keep terms growing over restarts, and leave strangers' leases alone

Change: the highest term is kept on disk, and a fenced dispatcher rises; unclaimed runs get no renewal; jobs of entries that are not fresh start nothing.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -17,6 +17,8 @@
 SILENCE_SECONDS: Final = 0.35
 #: How long an instance listens after its start before it may lead.
 _SETTLE_SECONDS: Final = 0.8
+#: Pause between two later terms, so that endpoints can answer.
+_RISE_SECONDS: Final = 0.3
 #: How long it has to be the first in line, so that beats under way count.
 _PATIENCE_SECONDS: Final = 0.1
 
@@ -32,16 +34,25 @@
 
     Args:
         own: This instance.
+        highest_term: The highest term that it knew of before its start.
         now: The present time.
     """
 
-    def __init__(self, own: InstanceId, *, now: float) -> None:
+    def __init__(
+        self,
+        own: InstanceId,
+        *,
+        highest_term: int = 0,
+        now: float,
+    ) -> None:
         self._own = own
         self._settled_at = now + _SETTLE_SECONDS
         self._heard: dict[InstanceId, _Heard] = {}
-        self._highest_term = 0
+        self._highest_term = highest_term
         self._term = 0
         self._first_since: float | None = None
+        self._rise_at: float = 0
+        self._rises = 1
 
     @property
     def term(self) -> int:
@@ -83,6 +94,18 @@
         self._heard[sender] = _Heard(beat, now)
         self._highest_term = max(self._highest_term, beat.term)
 
+    def rise(self, *, now: float) -> None:
+        """Take that endpoints obey a later term than any heard of.
+
+        The dispatcher of that term is not in touch, or has lost its memory.
+        """
+        if not self._term or now < self._rise_at:
+            return
+        self._rise_at = now + _RISE_SECONDS
+        self._highest_term += self._rises
+        self._rises *= 2
+        self._begin_term()
+
     def leave(self) -> None:
         """Lead no more, now or later."""
         self._term = 0
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -20,7 +20,7 @@
 from cuminstack.pool import LEASE_SECONDS, JobRequest, JobState, QueueTerms
 
 #: Seconds that a dispatcher goes on with the jobs of a silent entry.
-ENTRY_LEASE_SECONDS: Final = 0.5
+ENTRY_LEASE_SECONDS: Final = 0.4
 #: Seconds after the last word of a dispatcher until nothing runs on its
 #: orders: the entry's lease, the lease of the endpoints, and 0.2 s for a
 #: stop, slow clocks and delays on the way.
@@ -275,6 +275,7 @@
             terms=pending.terms,
             waited=now - pending.arrived_at,
             remaining=pending.deadline - now,
+            stamp=self._stamps.get(self._leader, 0),
             held=max(0, pending.may_run_until - now),
         )
         return (Send(self._leader, submit),)
--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -16,6 +16,7 @@
 from cuminstack.pool import (
     Dispatcher,
     EndpointReport,
+    Fenced,
     Hold,
     JobEnded,
     JobRefused,
@@ -26,7 +27,7 @@
 )
 
 Order = StartRun | StopRun | Hold
-Effect = Order | Send | Noted
+Effect = Order | Send | Noted | Fenced
 Effects = tuple[Effect, ...]
 
 
@@ -67,7 +68,7 @@
     ) -> Effects:
         """Take a job of an entry."""
         key = submit.request.key
-        self._leases.setdefault(entry, now + ENTRY_LEASE_SECONDS)
+        self._hear(entry, submit.stamp)
         self._jobs.setdefault(entry, set()).add(key)
         submission = Submission(
             request=submit.request,
@@ -102,8 +103,7 @@
         now: float,
     ) -> Effects:
         """Take the heartbeat of an entry."""
-        end = beat.stamp + ENTRY_LEASE_SECONDS
-        self._leases[entry] = max(end, self._leases.get(entry, 0))
+        self._hear(entry, beat.stamp)
         if beat.jobs is None:
             return ()
         return (
@@ -143,9 +143,14 @@
                         effect.retry_after,
                     )
                     yield Send(effect.entry, refused)
-                case StartRun() | StopRun() | Hold() | Noted():
+                case StartRun() | StopRun() | Hold() | Noted() | Fenced():
                     yield effect
 
+    def _hear(self, entry: InstanceId, stamp: float) -> None:
+        end = stamp + ENTRY_LEASE_SECONDS
+        self._leases[entry] = max(end, self._leases.get(entry, 0))
+        self._dispatcher.entry_heard(entry, stamp)
+
     def _forget(self, entry: InstanceId, key: JobKey) -> None:
         self._jobs.get(entry, set()).discard(key)
 
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -80,6 +80,7 @@
         terms: What the desired state says of its queue.
         waited: Seconds since the caller submitted it.
         remaining: Seconds that the caller goes on waiting.
+        stamp: Newest stamp of the receiver.
         held: Seconds for which tasks of it may still be running on orders
             of an earlier dispatcher.
     """
@@ -88,6 +89,7 @@
     terms: QueueTerms
     waited: float
     remaining: float
+    stamp: float
     held: float = 0
 
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -18,6 +18,7 @@
     EndKind,
     EndpointReport,
     EndpointView,
+    Fenced,
     Hold,
     JobEnded,
     JobRefused,
@@ -34,6 +35,9 @@
 #: Seconds of silence after which an endpoint is forgotten; it sends a
 #: heartbeat each 1.5 s.
 _FORGET_SECONDS: Final = 6.0
+#: Seconds of silence of an entry after which its jobs start nothing more.
+#: Shorter than it takes another dispatcher to claim what runs.
+_FRESH_SECONDS: Final = 0.25
 #: Refusals after which an endpoint is asked what runs there.
 _VOIDING_REFUSALS: Final = frozenset(
     (Refusal.fenced, Refusal.room, Refusal.unreachable, Refusal.late),
@@ -57,6 +61,7 @@
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._heard_at: dict[EndpointId, float] = {}
         self._jobs = JobTable(term=term)
+        self._entries: dict[InstanceId, float] = {}
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -94,6 +99,10 @@
         """Give the answer of a job that ended a short while ago."""
         return self._jobs.answer_of(key)
 
+    def entry_heard(self, entry: InstanceId, stamp: float) -> None:
+        """Take that an entry had heard of this dispatcher at a time."""
+        self._entries[entry] = max(stamp, self._entries.get(entry, 0))
+
     def observe(self, report: EndpointReport, *, now: float) -> Effects:
         """Take a heartbeat of an endpoint."""
         known = self._endpoints.get(report.endpoint)
@@ -211,7 +220,11 @@
             return ()
         if refusal is Refusal.other_lifetime:
             return self.forget(order.endpoint, now=now)
-        if endpoint.hold is not order or endpoint.phase is not Phase.ready:
+        if order.token != endpoint.token:
+            return ()
+        if refusal is Refusal.fenced:
+            return (Fenced(order.endpoint),)
+        if endpoint.phase is not Phase.ready:
             return ()
         return tuple(self._watch.void(endpoint, refusal.value, now=now))
 
@@ -309,7 +322,7 @@
         listed = {progress.run for progress in view.running}
         for key in tuple(endpoint.strangers):
             if key not in listed:
-                endpoint.strangers.pop(key)
+                endpoint.strangers.discard(key)
         for progress in view.running:
             run = endpoint.runs.get(progress.run)
             if run is None:
@@ -373,7 +386,7 @@
         end: RunEnd,
         now: float,
     ) -> Iterator[Effect]:
-        endpoint.strangers.pop(end.run, None)
+        endpoint.strangers.discard(end.run)
         run = endpoint.remove(end.run)
         job = self._jobs.find(end.run.task.job)
         task = self._jobs.find_task(end.run.task)
@@ -462,7 +475,7 @@
         key: RunKey,
         now: float,
     ) -> None:
-        endpoint.strangers.setdefault(key, now)
+        endpoint.strangers.add(key)
         job = self._jobs.find(key.task.job)
         if job is not None:
             self._claim_strangers(job, now)
@@ -474,7 +487,7 @@
                 task = job.tasks.get(key.task)
                 if task is None or task.state is not TaskState.waiting:
                     continue
-                endpoint.strangers.pop(key)
+                endpoint.strangers.discard(key)
                 needs = job.steps[task.key.step].needs
                 run = Run(key, needs, sent_at=now, confirmed_at=now)
                 endpoint.add(run)
@@ -505,8 +518,15 @@
         return tuple(effects)
 
     def _may_run(self, job: Job, now: float) -> bool:
+        """Tell whether tasks of a job may be started.
+
+        An entry that went silent may have gone to another dispatcher.
+        """
         if next(job.ready_tasks(), None) is None:
             return False
+        silence = now - self._entries.get(job.submission.entry, 0)
+        if silence > _FRESH_SECONDS:
+            return False
         if now >= job.submission.held_until:
             return True
         return all(
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -75,7 +75,7 @@
         self.clock = EndpointClock()
         self.health = EndpointHealth()
         self.runs: dict[RunKey, Run] = {}
-        self.strangers: dict[RunKey, float] = {}
+        self.strangers: set[RunKey] = set()
         self.last_end = 0
         self.acknowledged_end = 0
         self.hold: Hold | None = None
--- a/src/cuminstack/pool/_records.py
+++ b/src/cuminstack/pool/_records.py
@@ -282,6 +282,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """An endpoint obeys a token above the newest one of this dispatcher."""
+
+    endpoint: EndpointId
+
+
 class JobState(enum.Enum):
     """How a job ended."""
 
@@ -330,5 +337,5 @@
     values: tuple[tuple[str, Any], ...] = ()
 
 
-Effect = StartRun | StopRun | Hold | JobEnded | JobRefused | Noted
+Effect = StartRun | StopRun | Hold | JobEnded | JobRefused | Noted | Fenced
 Effects = tuple[Effect, ...]
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -29,8 +29,6 @@
 _END_SECONDS: Final = 0.03
 #: Seconds after which a stop that had no effect is sent again.
 _STOP_AGAIN: Final = 0.15
-#: Seconds that a run of an unknown job may wait for an entry to claim it.
-_STRANGER_SECONDS: Final = 0.4
 _MS: Final = 1000.0
 
 
@@ -99,10 +97,6 @@
             if stopped is not None and now - stopped > _STOP_AGAIN:
                 run.stopping_at = now
                 yield self._stop(endpoint, run.key)
-        for key, seen_at in endpoint.strangers.items():
-            if now - seen_at > _STRANGER_SECONDS:
-                endpoint.strangers[key] = seen_at + _STOP_AGAIN
-                yield self._stop(endpoint, key)
 
     def _next_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
         if endpoint.phase is Phase.ready:
@@ -118,7 +112,10 @@
     def _ready_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
         if endpoint.hold is not None:
             return None
-        if endpoint.runs or endpoint.strangers:
+        if endpoint.strangers:
+            # Whoever started them may count on the lease to end.
+            return self._make_hold(endpoint, now, wait_ms=_WAIT_MS)
+        if endpoint.runs:
             expiry = endpoint.clock.expiry_after(LEASE_SECONDS, now=now)
             endpoint.longest_expiry = max(endpoint.longest_expiry, expiry)
             return self._make_hold(
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -25,6 +25,7 @@
 from cuminstack.roles._lead import Lead
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 from cuminstack.roles._register import MESSAGES, RegisterShell
+from cuminstack.roles._terms import TermFile
 from cuminstack.settings import LogLevel
 
 #: Seconds between two turns of the clockwork; order time-outs are 60 ms.
@@ -57,7 +58,12 @@
     ) -> None:
         self._settings = settings
         self._client = client
-        self._election = Election(settings.own, now=steady_now())
+        self._term_file = TermFile(settings.data_folder)
+        self._election = Election(
+            settings.own,
+            highest_term=self._term_file.load(),
+            now=steady_now(),
+        )
         self._lead: Lead | None = None
         self._controls: dict[InstanceId, float] = {}
         self._entries: dict[InstanceId, float] = {}
@@ -135,6 +141,7 @@
     def _tick(self, now: float) -> None:
         self._turns += 1
         self._election.tick(weight=self._weight(now), now=now)
+        self._term_file.keep(self._election.highest_term)
         self._follow_election(now)
         if self._lead is not None:
             self._lead.tick(now=now)
@@ -171,12 +178,16 @@
             order=self._settings.order,
             client=self._client,
             send=self._mesh.send,
+            fenced=self._rise,
         )
         for report, heard_at in tuple(self._reports.values()):
             if now - heard_at < _REPORT_SECONDS:
                 self._lead.observe(report, now=now)
         self._beat_entries(now)
 
+    def _rise(self) -> None:
+        self._election.rise(now=steady_now())
+
     def _resign(self) -> None:
         if self._lead is None:
             return
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -146,9 +146,12 @@
         self._beats += 1
         to_all = self._beats % _BEATS_TO_OTHERS == 0
         for control in self._mesh.peers:
-            if to_all or control == self._desk.leader:
-                beat = self._desk.beat_for(control, version=self._version)
-                self._mesh.send(control, beat)
+            if to_all and control != self._desk.leader:
+                self._beat_to(control)
+
+    def _beat_to(self, control: InstanceId) -> None:
+        beat = self._desk.beat_for(control, version=self._version)
+        self._mesh.send(control, beat)
 
     def _receive(self, sender: InstanceId, message: Any) -> None:
         now = steady_now()
@@ -169,6 +172,9 @@
         before = self._desk.leader
         self._mesh.meet((sender, *beat.controls))
         self._perform(self._desk.hear_leader(sender, beat, now=now))
+        if beat.term:
+            # At once, so that the dispatcher knows how fresh it is.
+            self._beat_to(sender)
         if sender == self._desk.leader:
             self._waiting = beat.waiting
         if before != self._desk.leader:
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -12,6 +12,7 @@
     Dispatcher,
     EndpointReport,
     EndpointView,
+    Fenced,
     Hold,
     Noted,
     OrderRefused,
@@ -35,6 +36,7 @@
         instance: Number of this instance.
         order: Name of the order in which waiting jobs get room.
         client: Carries orders to endpoints.
+        fenced: Called when endpoints obey a later term.
         send: Sends a message to an instance.
     """
 
@@ -46,7 +48,9 @@
         order: str,
         client: EndpointClient,
         send: Sender,
+        fenced: Callable[[], None],
     ) -> None:
+        self._fenced = fenced
         self._term = term
         self._client = client
         self._send = send
@@ -122,6 +126,8 @@
                     self._spawn(self._start(effect))
                 case Hold():
                     self._spawn(self._hold(effect))
+                case Fenced():
+                    self._fenced()
                 case StopRun():
                     self._spawn(self._client.stop(effect))
                 case Noted():
