Judge a lagging run by tasks alike elsewhere, and tell restarted dispatchers of entries

Change: lag is the ratio to the same step's tasks on other endpoints, a task moves three times at most; entries greet all control instances.

--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -13,7 +13,8 @@
     Receiver,
     Rejecter,
 )
-from cuminstack.settings import Address
+from cuminstack.logs import log_event
+from cuminstack.settings import Address, LogLevel
 
 #: Longest pause between two tries to dial, in seconds: a third of the
 #: silence after which an instance counts as lost would cost more channels
@@ -101,4 +102,16 @@
             ping_seconds=_PING_SECONDS,
         )
         self._links[peer] = link
-        self._tasks[peer] = asyncio.create_task(link.run())
+        task = asyncio.create_task(link.run(), name=peer)
+        task.add_done_callback(_log_end)
+        self._tasks[peer] = task
+
+
+def _log_end(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled():
+        log_event(
+            'link.task_ended',
+            LogLevel.error,
+            peer=task.get_name(),
+            error=task.exception(),
+        )
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -38,6 +38,8 @@
 #: Seconds of silence of an entry after which its jobs start nothing more.
 #: Shorter than it takes another dispatcher to claim what runs.
 _FRESH_SECONDS: Final = 0.25
+#: Times that a task is moved; if it still seems slow then, it is.
+_MOST_MOVES: Final = 3
 #: Refusals after which an endpoint is asked what runs there.
 _VOIDING_REFUSALS: Final = frozenset(
     (Refusal.fenced, Refusal.room, Refusal.unreachable, Refusal.late),
@@ -367,15 +369,12 @@
         job = self._jobs.find(run.key.task.job)
         if job is None or run.stopping_at is not None:
             return
-        verdict = judge_run(
-            endpoint,
-            run,
-            percent=percent,
-            expected=job.seconds[run.key.task.step],
-            now=now,
-        )
-        if verdict is Verdict.leave:
+        verdict = judge_run(endpoint, job, run, percent=percent, now=now)
+        task = job.tasks[run.key.task]
+        if verdict is Verdict.leave or task.moves >= _MOST_MOVES:
             return
+        task.moves += 1
+        task.failed_on = (*task.failed_on, endpoint.report.endpoint)
         endpoint.health.put_aside(now=now)
         yield _note_verdict(endpoint, run, verdict)
         yield self._stop(endpoint, run, now)
@@ -409,7 +408,11 @@
     ) -> Iterator[Effect]:
         seconds = now - (run.confirmed_at or run.sent_at)
         expected = job.seconds[task.key.step]
-        endpoint.health.succeeded(seconds / expected)
+        place = endpoint.report.endpoint
+        ratio = seconds / expected
+        elsewhere = job.sibling_ratio(task.key, place)
+        job.ratios[task.key] = (place, ratio)
+        endpoint.health.succeeded(ratio / (elsewhere or ratio))
         self._jobs.learn(job, task, seconds)
         job.finish(task)
         if job.is_done and not job.abandoned:
@@ -434,7 +437,7 @@
             return
         for name in task.failed_on:
             blamed = self._endpoints.get(name)
-            if blamed is not None and len(set(task.failed_on)) > 1:
+            if blamed is not None and task.failures > 1:
                 blamed.health.absolve(key.job)
         yield self._jobs.end(job, JobState.failed, now=now)
         yield from self._stop_runs(job, now)
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -32,6 +32,7 @@
         endpoint: Where its newest run is.
         failed_on: Endpoints on which runs of it failed.
         failures: Runs of it that failed.
+        moves: Runs of it that were stopped to begin anew elsewhere.
     """
 
     key: TaskKey
@@ -40,6 +41,7 @@
     endpoint: EndpointId | None = None
     failed_on: tuple[EndpointId, ...] = ()
     failures: int = 0
+    moves: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
         self.submission = submission
         self.seconds = seconds
         self.abandoned = False
+        self.ratios: dict[TaskKey, tuple[EndpointId, float]] = {}
         self.tasks = {
             key: Task(key, first_number)
             for key in _task_keys(submission.request)
@@ -142,6 +145,21 @@
             if is_waiting and self._is_open(task.key.step):
                 yield task
 
+    def sibling_ratio(
+        self, task: TaskKey, endpoint: EndpointId
+    ) -> float | None:
+        """Give how long tasks alike take at other endpoints.
+
+        Gives:
+            The least ratio to the expected run time; None if there is none.
+        """
+        ratios = [
+            ratio
+            for key, (place, ratio) in self.ratios.items()
+            if key.step == task.step and place != endpoint
+        ]
+        return min(ratios, default=None)
+
     def finish(self, task: Task) -> None:
         """Take that a task is done."""
         if task.state is not TaskState.done:
--- a/src/cuminstack/pool/_progress.py
+++ b/src/cuminstack/pool/_progress.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from cuminstack.pool._endpoint import Endpoint, Run
-from cuminstack.pool._health import SLOW_LAG
+from cuminstack.pool._jobs import Job
 
 #: A run whose progress does not change for this long stands still: progress
 #: comes in hundredths, and holds bring it about eight times a second.
@@ -13,8 +13,11 @@
 _STILL_SHARE: Final = 0.5
 #: Progress below this says little about the rate.
 _LEAST_PERCENT: Final = 5.0
-#: Lag of a run from which it is worth beginning anew elsewhere.
-_MOVE_LAG: Final = 2.5
+#: Times as long as tasks alike elsewhere from which a run lags; tasks of a
+#: step differ by 15%.
+_LAG: Final = 2.0
+#: Seconds that beginning anew costs, beside the run itself.
+_MOVE_SECONDS: Final = 0.08
 _WHOLE: Final = 100.0
 
 
@@ -28,33 +31,40 @@
 
 def judge_run(
     endpoint: Endpoint,
+    job: Job,
     run: Run,
     *,
     percent: float,
-    expected: float,
     now: float,
 ) -> Verdict:
     """Take the progress of a run and judge it.
 
+    A run lags only against tasks of its step on other endpoints, as the
+    declared run time of the whole job may be wrong.
+
     Args:
-        endpoint: Where it runs; its lag is learned.
+        endpoint: Where it runs.
+        job: Its job; the rate of the run is noted there.
         run: The run.
         percent: How far it says it is, 0 to 100.
-        expected: Its expected run time in seconds.
         now: The present time.
     """
-    begun = run.confirmed_at or run.sent_at
+    task = run.key.task
+    expected = job.seconds[task.step]
     if percent > run.percent or not run.moved_at:
         run.percent = percent
         run.moved_at = now
-    still = now - run.moved_at
-    if still > max(_STILL_SECONDS, expected * _STILL_SHARE):
+    if now - run.moved_at > max(_STILL_SECONDS, expected * _STILL_SHARE):
         return Verdict.stuck
     if percent < _LEAST_PERCENT:
         return Verdict.leave
+    begun = run.confirmed_at or run.sent_at
     ratio = (now - begun) * _WHOLE / percent / expected
-    if ratio > SLOW_LAG:
-        endpoint.health.observe_lag(ratio)
-    left = (_WHOLE - percent) / _WHOLE * ratio
-    is_slow = endpoint.health.lag > SLOW_LAG and ratio > _MOVE_LAG
-    return Verdict.lagging if is_slow and left > 1 else Verdict.leave
+    place = endpoint.report.endpoint
+    job.ratios[task] = (place, ratio)
+    elsewhere = job.sibling_ratio(task, place)
+    if elsewhere is None or ratio < elsewhere * _LAG:
+        return Verdict.leave
+    left = (_WHOLE - percent) / _WHOLE * ratio * expected
+    anew = elsewhere * expected + _MOVE_SECONDS
+    return Verdict.lagging if left > anew else Verdict.leave
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -146,7 +146,8 @@
         self._beats += 1
         to_all = self._beats % _BEATS_TO_OTHERS == 0
         for control in self._mesh.peers:
-            if to_all and control != self._desk.leader:
+            # A control instance that was restarted has to be told of us.
+            if to_all:
                 self._beat_to(control)
 
     def _beat_to(self, control: InstanceId) -> None:
