Stay with a dispatcher until it is silent or has resigned

Change: an entry changes only then; a dispatcher that resigns says so; what a resumed job waits for covers every endpoint by the tokens of this term.

--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -109,7 +109,9 @@
     def __init__(self, *, now: float) -> None:
         self._pending: dict[JobKey, _Pending] = {}
         self._leader: InstanceId | None = None
-        self._term = 0
+        self._has_resigned = False
+        self._is_rival = False
+        self._rivals: set[InstanceId] = set()
         self._heard_at = now
         self._stamps: dict[InstanceId, float] = {}
 
@@ -126,7 +128,8 @@
     def has_leader(self, *, now: float) -> bool:
         """Tell whether a dispatcher was heard lately."""
         silence = now - self._heard_at
-        return self._leader is not None and silence < SILENCE_SECONDS
+        is_heard = self._leader is not None and silence < SILENCE_SECONDS
+        return is_heard and not self._has_resigned
 
     def submit(
         self,
@@ -177,16 +180,25 @@
     ) -> Effects:
         """Take a heartbeat of a control instance."""
         self._stamps[sender] = beat.stamp
-        if not beat.term or beat.term < self._term:
-            return ()
-        self._term = beat.term
         if sender == self._leader:
-            self._heard_at = now
-            return self._resend(now)
+            return self._hear_own_leader(beat, now)
+        if not beat.term:
+            return ()
+        if self.has_leader(now=now):
+            # It may go on starting tasks until it resigns.
+            self._rivals.add(sender)
+            return ()
         effects = self._change_leader(sender, now)
         self._heard_at = now
         return effects
 
+    def _hear_own_leader(self, beat: LeaderBeat, now: float) -> Effects:
+        self._has_resigned = not beat.term
+        if self._has_resigned:
+            return ()
+        self._heard_at = now
+        return self._resend(now)
+
     def receive(
         self,
         sender: InstanceId,
@@ -232,7 +244,11 @@
 
     def _change_leader(self, leader: InstanceId, now: float) -> Effects:
         quiet_at = self._heard_at + _QUIET_SECONDS
+        self._is_rival = leader in self._rivals
         self._leader = leader
+        self._has_resigned = False
+        self._rivals.clear()
+        self._heard_at = now
         effects: list[Effect] = []
         for pending in self._pending.values():
             if pending.was_sent:
@@ -277,6 +293,7 @@
             remaining=pending.deadline - now,
             stamp=self._stamps.get(self._leader, 0),
             held=max(0, pending.may_run_until - now),
+            from_rival=self._is_rival,
         )
         return (Send(self._leader, submit),)
 
--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -77,6 +77,7 @@
             arrived_at=now - submit.waited,
             deadline=now + submit.remaining,
             held_until=now + submit.held if submit.held else 0,
+            from_rival=submit.from_rival,
         )
         effects = self.convey(self._dispatcher.submit(submission, now=now))
         if self._dispatcher.knows(key):
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -83,6 +83,8 @@
         stamp: Newest stamp of the receiver.
         held: Seconds for which tasks of it may still be running on orders
             of an earlier dispatcher.
+        from_rival: Whether that one dispatched beside the receiver, at
+            endpoints that the receiver may not know.
     """
 
     request: JobRequest
@@ -91,6 +93,7 @@
     remaining: float
     stamp: float
     held: float = 0
+    from_rival: bool = False
 
 
 @message('fleet.taken')
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -55,9 +55,18 @@
         term: Number of the term; above that of all dispatchers before.
         instance: Number of this instance, unique in the deployment.
         order: In which order waiting jobs get room.
+        warm_at: From then on every endpoint has been heard of.
     """
 
-    def __init__(self, *, term: int, instance: int, order: Order) -> None:
+    def __init__(
+        self,
+        *,
+        term: int,
+        instance: int,
+        order: Order,
+        warm_at: float = 0,
+    ) -> None:
+        self._warm_at = warm_at
         self._order = order
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
@@ -94,6 +103,7 @@
         self._jobs.begin_term(term)
         effects: list[Effect] = []
         for endpoint in self._endpoints.values():
+            endpoint.has_joined = False
             effects.extend(self._watch.void(endpoint, 'term', now=now))
         return tuple(effects)
 
@@ -261,6 +271,7 @@
         if endpoint.phase is not Phase.ready:
             effects.append(_note_ready(endpoint, view))
             endpoint.phase = Phase.ready
+            endpoint.has_joined = True
         effects.extend(self._assign(now))
         effects.extend(self._watch.tend(endpoint, now=now))
         return tuple(effects)
@@ -532,10 +543,9 @@
             return False
         if now >= job.submission.held_until:
             return True
-        return all(
-            endpoint.phase is not Phase.joining
-            for endpoint in self._endpoints.values()
-        )
+        if job.submission.from_rival or now < self._warm_at:
+            return False
+        return all(endpoint.has_joined for endpoint in self._endpoints.values())
 
     def _starters(self, service: str, now: float) -> list[Endpoint]:
         """List the endpoints that may get starts.
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -70,6 +70,7 @@
         self.report = report
         self.lifetime = report.lifetime
         self.phase = Phase.joining
+        self.has_joined = False
         self.token = token
         self.since = now
         self.clock = EndpointClock()
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -56,6 +56,7 @@
         deadline: When the caller stops waiting.
         held_until: Until then its tasks may be running at endpoints that
             this dispatcher has not asked.
+        from_rival: Whether there may be endpoints that it doesn't know of.
     """
 
     request: JobRequest
@@ -64,6 +65,7 @@
     arrived_at: float
     deadline: float
     held_until: float = 0
+    from_rival: bool = False
 
 
 class Job:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -38,6 +38,9 @@
 #: Reports older than this, in seconds, are of endpoints that may be gone;
 #: an endpoint sends one each 1.5 s.
 _REPORT_SECONDS: Final = 5.0
+#: Seconds after its start until an instance has heard of every endpoint:
+#: two heartbeats of theirs and some.
+_WARM_SECONDS: Final = 4.0
 #: Seconds of silence after which an entry is not sent heartbeats any more.
 _ENTRY_SECONDS: Final = 10.0
 
@@ -69,6 +72,7 @@
         self._entries: dict[InstanceId, float] = {}
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {}
         self._turns = 0
+        self._warm_at = steady_now() + _WARM_SECONDS
         self._leaves = False
         self._ticker: asyncio.Task[None] | None = None
         self._mesh = Mesh(
@@ -176,6 +180,7 @@
             term,
             instance=zlib.crc32(self._settings.own.encode()),
             order=self._settings.order,
+            warm_at=self._warm_at,
             client=self._client,
             send=self._mesh.send,
             fenced=self._rise,
@@ -199,6 +204,7 @@
         )
         self._lead.stop()
         self._lead = None
+        self._beat_entries(steady_now())
 
     def _beat(self, now: float) -> None:
         controls = self._known_controls(now)
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -35,6 +35,7 @@
         term: Number of the term.
         instance: Number of this instance.
         order: Name of the order in which waiting jobs get room.
+        warm_at: From then on every endpoint has been heard of.
         client: Carries orders to endpoints.
         fenced: Called when endpoints obey a later term.
         send: Sends a message to an instance.
@@ -46,6 +47,7 @@
         *,
         instance: int,
         order: str,
+        warm_at: float,
         client: EndpointClient,
         send: Sender,
         fenced: Callable[[], None],
@@ -59,6 +61,7 @@
             term=term,
             instance=instance,
             order=find_order(order),
+            warm_at=warm_at,
         )
         self._dispatcher = dispatcher
         self._desk = JobDesk(dispatcher)
