Let what entries say of their dispatcher count in the election

Change: entries tell whom they hear; whoever is outvoted doesn't lead. A resumed job may start early only where the entry was in touch for 4 s.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -3,6 +3,9 @@
 No quorum is needed: endpoints obey the highest fencing token, and a later
 term has higher tokens.  So each side of a cut has a dispatcher of its own,
 and when the sides meet the one in touch with more instances goes on.
+
+Control instances that are cut off from one another may still be in touch
+with the same entries.  So what entries say of their dispatcher counts too.
 """
 
 import math
@@ -17,10 +20,15 @@
 SILENCE_SECONDS: Final = 0.35
 #: How long an instance listens after its start before it may lead.
 _SETTLE_SECONDS: Final = 0.8
-#: Pause between two later terms, so that endpoints can answer.
-_RISE_SECONDS: Final = 0.3
+#: How long endpoints must have obeyed a later term before one above it is
+#: begun: its dispatcher is met well before, if it is in touch.
+_RISE_SECONDS: Final = 1.0
 #: How long it has to be the first in line, so that beats under way count.
 _PATIENCE_SECONDS: Final = 0.1
+#: Seconds for which the word of an entry counts; it gives it twice as often.
+_WORD_SECONDS: Final = 1.0
+#: Seconds of a term in which entries may not have heard of it yet.
+_NEW_TERM_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +37,12 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Word:
+    leader: InstanceId | None
+    at: float
+
+
 class Election:
     """What one control instance decides about who leads.
 
@@ -48,11 +62,12 @@
         self._own = own
         self._settled_at = now + _SETTLE_SECONDS
         self._heard: dict[InstanceId, _Heard] = {}
+        self._words: dict[InstanceId, _Word] = {}
         self._highest_term = highest_term
         self._term = 0
+        self._led_since: float = 0
         self._first_since: float | None = None
-        self._rise_at: float = 0
-        self._rises = 1
+        self._fenced_since: float | None = None
 
     @property
     def term(self) -> int:
@@ -74,15 +89,6 @@
             ),
         )
 
-    def leader(self, *, now: float) -> InstanceId | None:
-        """Give who dispatches, as far as this instance can tell."""
-        if self._term:
-            return self._own
-        rivals = self._rivals(now)
-        if not rivals:
-            return None
-        return max(rivals, key=lambda name: self._heard[name].beat.term)
-
     def hear(
         self,
         sender: InstanceId,
@@ -94,22 +100,15 @@
         self._heard[sender] = _Heard(beat, now)
         self._highest_term = max(self._highest_term, beat.term)
 
-    def rise(self, *, now: float) -> None:
-        """Take that endpoints obey a later term than any heard of.
-
-        The dispatcher of that term is not in touch, or has lost its memory.
-        """
-        if not self._term or now < self._rise_at:
-            return
-        self._rise_at = now + _RISE_SECONDS
-        self._highest_term += self._rises
-        self._rises *= 2
-        self._begin_term()
-
-    def leave(self) -> None:
-        """Lead no more, now or later."""
-        self._term = 0
-        self._settled_at = math.inf
+    def hear_entry(
+        self,
+        entry: InstanceId,
+        leader: InstanceId | None,
+        *,
+        now: float,
+    ) -> None:
+        """Take which dispatcher an entry hears."""
+        self._words[entry] = _Word(leader, now)
 
     def tick(self, *, weight: int, now: float) -> None:
         """Decide whether to lead.
@@ -120,27 +119,67 @@
         """
         rivals = self._rivals(now)
         if self._term:
-            self._meet(rivals, weight)
-        elif rivals or not self._is_first(now):
+            self._meet(rivals, weight, now)
+        elif rivals or not self._is_first(now) or self._is_served(now):
             self._first_since = None
         else:
             self._consider(now)
 
+    def fenced(self, *, now: float) -> None:
+        """Take that endpoints obey a later term than any heard of.
+
+        The dispatcher of that term is not in touch, or has lost its memory.
+        """
+        if not self._term or self._rivals(now):
+            self._fenced_since = None
+        elif self._fenced_since is None:
+            self._fenced_since = now
+        elif now - self._fenced_since >= _RISE_SECONDS:
+            self._fenced_since = None
+            # Terms of a lost memory may have been many.
+            self._highest_term *= 2
+            self._begin_term(now)
+
+    def leave(self) -> None:
+        """Lead no more, now or later."""
+        self._term = 0
+        self._settled_at = math.inf
+
     def _rivals(self, now: float) -> tuple[InstanceId, ...]:
         return tuple(
             name for name in self.live(now=now) if self._heard[name].beat.leads
         )
 
-    def _meet(self, rivals: tuple[InstanceId, ...], weight: int) -> None:
+    def _meet(
+        self,
+        rivals: tuple[InstanceId, ...],
+        weight: int,
+        now: float,
+    ) -> None:
         """Step down before a better leader, or rise above a worse one."""
         for rival in rivals:
             beat = self._heard[rival].beat
             if (beat.weight, rival) > (weight, self._own):
-                self._term = 0
-                self._first_since = None
+                self._resign()
                 return
             if beat.term >= self._term:
-                self._begin_term()
+                self._begin_term(now)
+        is_new = now - self._led_since < _NEW_TERM_SECONDS
+        if not is_new and self._is_served(now):
+            self._resign()
+
+    def _is_served(self, now: float) -> bool:
+        """Tell whether most entries in touch have another dispatcher.
+
+        Entries without one count for this instance.
+        """
+        words = [
+            word.leader
+            for word in self._words.values()
+            if now - word.at < _WORD_SECONDS
+        ]
+        here = sum(leader in {None, self._own} for leader in words)
+        return len(words) - here > here
 
     def _is_first(self, now: float) -> bool:
         others = self.live(now=now)
@@ -151,8 +190,13 @@
         if self._first_since is None:
             self._first_since = now
         if now - self._first_since >= _PATIENCE_SECONDS:
-            self._begin_term()
+            self._begin_term(now)
 
-    def _begin_term(self) -> None:
+    def _begin_term(self, now: float) -> None:
         self._highest_term += 1
         self._term = self._highest_term
+        self._led_since = now
+
+    def _resign(self) -> None:
+        self._term = 0
+        self._first_since = None
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -159,17 +159,24 @@
             return ()
         return (Send(pending.sent_to, Dropped(key)),)
 
-    def beat_for(self, control: InstanceId, *, version: int) -> EntryBeat:
+    def beat_for(
+        self,
+        control: InstanceId,
+        *,
+        version: int,
+        now: float,
+    ) -> EntryBeat:
         """Give the heartbeat for a control instance."""
         stamp = self._stamps.get(control, 0)
+        leader = self._leader if self.has_leader(now=now) else None
         if control != self._leader:
-            return EntryBeat(stamp, version)
+            return EntryBeat(stamp, version, leader)
         jobs = tuple(
             key
             for key, pending in self._pending.items()
             if pending.sent_to == control
         )
-        return EntryBeat(stamp, version, jobs)
+        return EntryBeat(stamp, version, leader, jobs)
 
     def hear_leader(
         self,
--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -64,9 +64,18 @@
         entry: InstanceId,
         submit: Submit,
         *,
+        is_warm: bool,
         now: float,
     ) -> Effects:
-        """Take a job of an entry."""
+        """Take a job of an entry.
+
+        Args:
+            entry: The entry.
+            submit: The job.
+            is_warm: Whether all endpoints that the entry's last dispatcher
+                may have used have been heard of here.
+            now: The present time.
+        """
         key = submit.request.key
         self._hear(entry, submit.stamp)
         self._jobs.setdefault(entry, set()).add(key)
@@ -77,7 +86,7 @@
             arrived_at=now - submit.waited,
             deadline=now + submit.remaining,
             held_until=now + submit.held if submit.held else 0,
-            from_rival=submit.from_rival,
+            is_blind=submit.from_rival or not is_warm,
         )
         effects = self.convey(self._dispatcher.submit(submission, now=now))
         if self._dispatcher.knows(key):
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -61,12 +61,14 @@
     Args:
         stamp: Newest stamp of that instance; 0 if none came.
         version: Version of the desired state that the entry holds.
+        leader: The dispatcher that it hears; None if it hears none.
         jobs: Jobs that it handed to the receiver and whose callers wait;
             None if the receiver isn't its dispatcher.
     """
 
     stamp: float
     version: int
+    leader: InstanceId | None
     jobs: tuple[JobKey, ...] | None = None
 
 
--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -64,6 +64,7 @@
         longest_pause: Seconds between two tries to dial, at most.
         refused: Called when the peer's address refuses a connection, as
             that of a process that has ended does.
+        open_seconds: Longest time to open it.
         ping_seconds: Pause between two pings of an idle link, and the wait
             for an answer.
     """
@@ -75,8 +76,10 @@
         *,
         longest_pause: float,
         refused: Callable[[], None],
+        open_seconds: float = _OPEN_SECONDS,
         ping_seconds: float = _PING_SECONDS,
     ) -> None:
+        self._open_seconds = open_seconds
         self._ping_seconds = ping_seconds
         self._refused = refused
         self._address = address
@@ -119,7 +122,7 @@
                 f'ws://{self._address}',
                 compression=None,
                 proxy=None,
-                open_timeout=_OPEN_SECONDS,
+                open_timeout=self._open_seconds,
                 close_timeout=_CLOSE_SECONDS,
                 ping_interval=self._ping_seconds,
                 ping_timeout=self._ping_seconds,
--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -20,6 +20,9 @@
 #: silence after which an instance counts as lost would cost more channels
 #: than it saves.
 _LONGEST_PAUSE: Final = 0.25
+#: A packet that opens a link and gets lost is sent again after seconds, so
+#: a new try is quicker.
+_OPEN_SECONDS: Final = 0.4
 #: Pings tell a link that went silent; twice the heartbeats' time-out.
 _PING_SECONDS: Final = 0.7
 
@@ -99,6 +102,7 @@
             self._hello,
             longest_pause=_LONGEST_PAUSE,
             refused=_ignore_refusal,
+            open_seconds=_OPEN_SECONDS,
             ping_seconds=_PING_SECONDS,
         )
         self._links[peer] = link
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -32,9 +32,10 @@
 )
 from cuminstack.pool._watch import LEASE_SECONDS, EndpointWatch
 
-#: Seconds of silence after which an endpoint is forgotten; it sends a
-#: heartbeat each 1.5 s.
-_FORGET_SECONDS: Final = 6.0
+#: Seconds of silence after which an endpoint is forgotten.  It sends a
+#: heartbeat each 1.5 s, but may be cut off for a while and run on orders of
+#: another dispatcher.
+_FORGET_SECONDS: Final = 20.0
 #: Seconds of silence of an entry after which its jobs start nothing more.
 #: Shorter than it takes another dispatcher to claim what runs.
 _FRESH_SECONDS: Final = 0.25
@@ -55,7 +56,6 @@
         term: Number of the term; above that of all dispatchers before.
         instance: Number of this instance, unique in the deployment.
         order: In which order waiting jobs get room.
-        warm_at: From then on every endpoint has been heard of.
     """
 
     def __init__(
@@ -64,9 +64,7 @@
         term: int,
         instance: int,
         order: Order,
-        warm_at: float = 0,
     ) -> None:
-        self._warm_at = warm_at
         self._order = order
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
@@ -126,6 +124,7 @@
             return ()
         self._heard_at[report.endpoint] = now
         known.report = report
+        known.silences = 0
         if report.lifetime > known.lifetime:
             return tuple(self._restarted(known, report.lifetime, now))
         return tuple(self._watch.tend(known, now=now))
@@ -543,7 +542,7 @@
             return False
         if now >= job.submission.held_until:
             return True
-        if job.submission.from_rival or now < self._warm_at:
+        if job.submission.is_blind:
             return False
         return all(endpoint.has_joined for endpoint in self._endpoints.values())
 
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -56,7 +56,8 @@
         deadline: When the caller stops waiting.
         held_until: Until then its tasks may be running at endpoints that
             this dispatcher has not asked.
-        from_rival: Whether there may be endpoints that it doesn't know of.
+        is_blind: Whether they may be running at endpoints that it doesn't
+            know of.
     """
 
     request: JobRequest
@@ -65,7 +66,7 @@
     arrived_at: float
     deadline: float
     held_until: float = 0
-    from_rival: bool = False
+    is_blind: bool = False
 
 
 class Job:
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -24,7 +24,9 @@
 #: The same for a hold, beyond the time that it waits.
 _HOLD_PATIENCE: Final = 0.08
 #: Longest pause between holds that get no answer, in seconds.
-_LONGEST_PAUSE: Final = 0.5
+_LONGEST_PAUSE: Final = 2.0
+#: Doublings of the pause until it is the longest.
+_MOST_DOUBLINGS: Final = 5
 #: Seconds that an end may stay unacknowledged at an idle endpoint.
 _END_SECONDS: Final = 0.03
 #: Seconds after which a stop that had no effect is sent again.
@@ -101,12 +103,13 @@
     def _next_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
         if endpoint.phase is Phase.ready:
             return self._ready_hold(endpoint, now)
-        pause = min(_HOLD_PATIENCE * 2**endpoint.silences, _LONGEST_PAUSE)
+        doublings = min(endpoint.silences, _MOST_DOUBLINGS)
+        pause = min(_HOLD_PATIENCE * 2**doublings, _LONGEST_PAUSE)
         waited = now - endpoint.hold_sent_at
         if endpoint.hold is not None and waited < pause:
             return None
         if endpoint.hold is not None:
-            endpoint.silences = min(endpoint.silences + 1, 4)
+            endpoint.silences += 1
         return self._make_hold(endpoint, now, fresh=True)
 
     def _ready_hold(self, endpoint: Endpoint, now: float) -> Hold | None:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -35,12 +35,13 @@
 _TURNS_OF_BEAT: Final = 5
 #: Turns between heartbeats to entries while this instance doesn't lead.
 _TURNS_OF_IDLE_BEAT: Final = 25
-#: Reports older than this, in seconds, are of endpoints that may be gone;
-#: an endpoint sends one each 1.5 s.
-_REPORT_SECONDS: Final = 5.0
-#: Seconds after its start until an instance has heard of every endpoint:
-#: two heartbeats of theirs and some.
+#: Reports older than this, in seconds, are of endpoints that are gone.
+_REPORT_SECONDS: Final = 20.0
+#: Seconds of touch with an entry until an instance has heard of every
+#: endpoint that works for it: two heartbeats of theirs and some.
 _WARM_SECONDS: Final = 4.0
+#: Silence of an entry, in seconds, that ends the touch with it.
+_TOUCH_SECONDS: Final = 1.2
 #: Seconds of silence after which an entry is not sent heartbeats any more.
 _ENTRY_SECONDS: Final = 10.0
 
@@ -70,9 +71,9 @@
         self._lead: Lead | None = None
         self._controls: dict[InstanceId, float] = {}
         self._entries: dict[InstanceId, float] = {}
+        self._met_at: dict[InstanceId, float] = {}
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {}
         self._turns = 0
-        self._warm_at = steady_now() + _WARM_SECONDS
         self._leaves = False
         self._ticker: asyncio.Task[None] | None = None
         self._mesh = Mesh(
@@ -180,7 +181,6 @@
             term,
             instance=zlib.crc32(self._settings.own.encode()),
             order=self._settings.order,
-            warm_at=self._warm_at,
             client=self._client,
             send=self._mesh.send,
             fenced=self._rise,
@@ -191,7 +191,7 @@
         self._beat_entries(now)
 
     def _rise(self) -> None:
-        self._election.rise(now=steady_now())
+        self._election.fenced(now=steady_now())
 
     def _resign(self) -> None:
         if self._lead is None:
@@ -245,7 +245,7 @@
             case EntryBeat():
                 self._hear_entry(sender, message, now)
             case Submit() if self._lead is not None:
-                self._lead.submit(sender, message, now=now)
+                self._submit(self._lead, sender, message, now)
             case Dropped() if self._lead is not None:
                 self._lead.drop(sender, message, now=now)
             case EndpointNews():
@@ -257,6 +257,16 @@
             case _ if isinstance(message, MESSAGES):
                 self._register.receive(sender, message)
 
+    def _submit(
+        self,
+        lead: Lead,
+        entry: InstanceId,
+        submit: Submit,
+        now: float,
+    ) -> None:
+        touch = now - self._met_at.get(entry, now)
+        lead.submit(entry, submit, is_warm=touch > _WARM_SECONDS, now=now)
+
     def _hear_control(
         self,
         sender: InstanceId,
@@ -281,7 +291,10 @@
         if sender not in self._entries:
             log_event('entry.met', LogLevel.info, entry=sender)
             self._mesh.meet((sender,))
+        if now - self._entries.get(sender, 0) > _TOUCH_SECONDS:
+            self._met_at[sender] = now
         self._entries[sender] = now
+        self._election.hear_entry(sender, beat.leader, now=now)
         if beat.version < self._register.in_force.version:
             self._mesh.send(sender, self._register.news)
         if self._lead is not None:
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -146,12 +146,17 @@
         self._beats += 1
         to_all = self._beats % _BEATS_TO_OTHERS == 0
         for control in self._mesh.peers:
-            # A control instance that was restarted has to be told of us.
-            if to_all:
+            # A control instance that was restarted has to be told of us, and
+            # all have to know when there is no dispatcher.
+            if to_all or not self._desk.has_leader(now=steady_now()):
                 self._beat_to(control)
 
     def _beat_to(self, control: InstanceId) -> None:
-        beat = self._desk.beat_for(control, version=self._version)
+        beat = self._desk.beat_for(
+            control,
+            version=self._version,
+            now=steady_now(),
+        )
         self._mesh.send(control, beat)
 
     def _receive(self, sender: InstanceId, message: Any) -> None:
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -35,7 +35,6 @@
         term: Number of the term.
         instance: Number of this instance.
         order: Name of the order in which waiting jobs get room.
-        warm_at: From then on every endpoint has been heard of.
         client: Carries orders to endpoints.
         fenced: Called when endpoints obey a later term.
         send: Sends a message to an instance.
@@ -47,7 +46,6 @@
         *,
         instance: int,
         order: str,
-        warm_at: float,
         client: EndpointClient,
         send: Sender,
         fenced: Callable[[], None],
@@ -61,7 +59,6 @@
             term=term,
             instance=instance,
             order=find_order(order),
-            warm_at=warm_at,
         )
         self._dispatcher = dispatcher
         self._desk = JobDesk(dispatcher)
@@ -100,9 +97,17 @@
         """Take that an endpoint has left."""
         self._convey(self._dispatcher.forget(endpoint, now=now))
 
-    def submit(self, entry: InstanceId, submit: Submit, *, now: float) -> None:
+    def submit(
+        self,
+        entry: InstanceId,
+        submit: Submit,
+        *,
+        is_warm: bool,
+        now: float,
+    ) -> None:
         """Take a job of an entry."""
-        self._perform(self._desk.submit(entry, submit, now=now))
+        take = partial(self._desk.submit, is_warm=is_warm, now=now)
+        self._perform(take(entry, submit))
 
     def drop(self, entry: InstanceId, dropped: Dropped, *, now: float) -> None:
         """Take that the caller of a job has left."""
