--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -13,11 +13,11 @@
 from cuminstack.daemon._callers import CallerInterface
 from cuminstack.daemon._driver import Driver, log_rejected
 from cuminstack.daemon._endpoints import EndpointInterface
-from cuminstack.links import Hello, PeerLink, PeerListener
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.daemon._sheets import SheetKeeper
 from cuminstack.daemon._views import Views
+from cuminstack.links import Hello, PeerLink, PeerListener
 from cuminstack.logs import LogOutput
 from cuminstack.settings import Address, Settings
 from cuminstack.store import DurableFile
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -10,7 +10,6 @@
 from cuminstack import wire
 from cuminstack.core import EndpointRecord, InstanceId, JobId, Send
 from cuminstack.daemon._endpoint_replies import AttemptEnd
-from cuminstack.links import PeerLink
 from cuminstack.daemon._observer import Observer
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.jobs import (
@@ -21,6 +20,7 @@
     StartEnd,
     StopStarted,
 )
+from cuminstack.links import PeerLink
 from cuminstack.logs import log_event
 from cuminstack.membership import Superseded
 from cuminstack.metrics import MetricsSnapshot
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -21,10 +21,11 @@
 
 #: Seconds that a dispatcher goes on with the jobs of a silent entry.
 ENTRY_LEASE_SECONDS: Final = 0.4
+#: Seconds for a stop, slow clocks and delays on the way.
+_STOP_SECONDS: Final = 0.2
 #: Seconds after the last word of a dispatcher until nothing runs on its
-#: orders: the entry's lease, the lease of the endpoints, and 0.2 s for a
-#: stop, slow clocks and delays on the way.
-_QUIET_SECONDS: Final = ENTRY_LEASE_SECONDS + LEASE_SECONDS + 0.2
+#: orders.
+_QUIET_SECONDS: Final = ENTRY_LEASE_SECONDS + LEASE_SECONDS + _STOP_SECONDS
 #: Seconds after which a submission without a reply is sent again.
 _RESEND_SECONDS: Final = 0.15
 #: How long a job waits for a dispatcher to be chosen before it is refused.
--- a/src/cuminstack/platform/_desired_state.py
+++ b/src/cuminstack/platform/_desired_state.py
@@ -110,9 +110,9 @@
         raise InvalidState(f'version {found.version}')
     services = {service.name for service in found.services}
     places: set[tuple[str, str]] = set()
-    for route in found.routes:
-        _check_route(route, services, places)
-        places.add((route.host, route.path_prefix))
+    for each in found.routes:
+        _check_route(each, services, places)
+        places.add((each.host, each.path_prefix))
     queues = sorted(
         (_make_queue(route) for route in found.routes),
         key=lambda queue: -len(queue.prefix),
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -117,10 +117,8 @@
         key = JobKey(name)
         if request.method == 'POST':
             return await self._submit(request, queue, key, self._role)
-        if request.method in {'GET', 'DELETE'}:
-            # No job is stored, so none is known once its caller has left.
-            return web.Response(status=HTTPStatus.GONE)
-        return web.Response(status=HTTPStatus.METHOD_NOT_ALLOWED)
+        # No job is stored, so none is known once its caller has left.
+        return web.Response(status=HTTPStatus.GONE)
 
     async def _submit(
         self,
--- a/src/cuminstack/platform/_jobs.py
+++ b/src/cuminstack/platform/_jobs.py
@@ -84,13 +84,23 @@
     tasks = sum(step.count for step in job.steps)
     if not 0 < tasks <= _MOST_TASKS:
         raise BadJob(f'{tasks} tasks')
-    for number, step in enumerate(job.steps):
-        if step.count < 1 or any(each >= number for each in step.after):
+    for number, each in enumerate(job.steps):
+        if each.count < 1 or max(each.after, default=-1) >= number:
             raise BadJob(f'step {number}')
-    if not job.best_effort or job.long_running or job.times:
-        raise UnsupportedJob('only jobs that need not be stored are taken')
-    if any(step.gang or step.fill_count for step in job.steps):
-        raise UnsupportedJob('gangs and tasks that fill are not taken')
+    unsupported = [name for name, asked in _extras(job) if asked]
+    if unsupported:
+        raise UnsupportedJob(', '.join(unsupported))
+
+
+def _extras(job: _Job) -> tuple[tuple[str, bool], ...]:
+    """List what a job may ask for that is not offered."""
+    return (
+        ('stored', not job.best_effort),
+        ('long-running', job.long_running),
+        ('timed', bool(job.times)),
+        ('gang', any(step.gang for step in job.steps)),
+        ('filling', any(step.fill_count for step in job.steps)),
+    )
 
 
 def _make_step(step: _Step) -> Step:
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -4,7 +4,8 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from contextlib import suppress
+from types import MappingProxyType
 from typing import Final
 
 from aiohttp import web
@@ -27,15 +28,11 @@
 _OUT_OF_ROTATION_SECONDS: Final = 2.5
 #: Seconds of the grace that are left for closing down.
 _CLOSING_SECONDS: Final = 0.7
-#: Pause between two looks at the jobs that are left.
-_LOOK_SECONDS: Final = 0.05
 #: Seconds that another instance takes to take over from a leaving one.
 _HANDOVER_SECONDS: Final = 0.5
 #: Seconds that requests in progress may take once no job is left.
 _SHUTDOWN_SECONDS: Final = 0.2
 
-Program = Callable[[PlatformSettings, asyncio.Event], 'asyncio.Future[None]']
-
 
 async def _listen(
     app: web.Application,
@@ -83,11 +80,10 @@
 
 async def _drain(role: EntryRole, seconds: float) -> None:
     """Wait until callers go elsewhere and no job is left."""
-    loop = asyncio.get_running_loop()
-    least = loop.time() + min(seconds, _OUT_OF_ROTATION_SECONDS)
-    most = loop.time() + seconds
-    while loop.time() < least or (role.open_jobs and loop.time() < most):
-        await asyncio.sleep(_LOOK_SECONDS)
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await asyncio.sleep(_OUT_OF_ROTATION_SECONDS)
+            await role.wait_idle()
 
 
 async def serve_control(
@@ -110,7 +106,9 @@
     await client.close()
 
 
-_PROGRAMS: Final = {'entry': serve_entry, 'control': serve_control}
+_PROGRAMS: Final = MappingProxyType(
+    {'entry': serve_entry, 'control': serve_control},
+)
 
 
 async def _serve(name: str, settings: PlatformSettings) -> None:
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -117,7 +117,8 @@
 
 def _peer_address(seed: str, port: int) -> InstanceId:
     """Give the peer address of a seed; ports are the same on all machines."""
-    return InstanceId(f'{Address.parse(seed).host}:{port}')
+    host = Address.parse(seed).host
+    return InstanceId(f'{host}:{port}')
 
 
 def _address(text: str) -> Address | None:
--- a/src/cuminstack/platform/_workers.py
+++ b/src/cuminstack/platform/_workers.py
@@ -1,6 +1,7 @@
 """What workers say of themselves and of what they run."""
 
 from collections.abc import Iterator
+from types import MappingProxyType
 from typing import Any, Final, Literal
 
 import msgspec
@@ -17,7 +18,7 @@
     RunEnd,
     RunProgress,
 )
-from cuminstack.settings import Address, LogLevel
+from cuminstack.settings import Address, LogLevel, NotReadable
 
 _MS: Final = 1000.0
 
@@ -63,12 +64,14 @@
 
 
 #: What the words of a refused order mean.
-_REFUSALS: Final = {
-    'fence': Refusal.fenced,
-    'old': Refusal.outdated,
-    'late': Refusal.late,
-    'room': Refusal.room,
-}
+_REFUSALS: Final = MappingProxyType(
+    {
+        'fence': Refusal.fenced,
+        'old': Refusal.outdated,
+        'late': Refusal.late,
+        'room': Refusal.room,
+    },
+)
 
 
 def decode_heartbeat(endpoint: str, body: bytes) -> EndpointReport:
@@ -80,7 +83,7 @@
     try:
         found = msgspec.json.decode(body, type=_Heartbeat)
         Address.parse(found.address)
-    except Exception as error:
+    except (msgspec.DecodeError, NotReadable, RecursionError) as error:
         raise BadReport(str(error)) from error
     capacity = found.free_capacity
     return EndpointReport(
@@ -134,7 +137,7 @@
     for row in rows:
         try:
             yield decode(row)
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except (ValueError, TypeError, LookupError) as error:
             log_event('worker.bad_row', LogLevel.warning, row=row, error=error)
 
 
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -51,38 +51,41 @@
     moved_at: float = 0
 
 
+class Life:
+    """What is known of one lifetime of an endpoint.
+
+    Args:
+        number: Unix milliseconds of its start; 0 if it doesn't tell.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.clock = EndpointClock()
+        self.last_end = 0
+        self.acknowledged_end = 0
+        self.longest_expiry = 0
+
+
 class Endpoint:
     """State of one endpoint at its dispatcher.
 
     Args:
         report: Its newest heartbeat.
         token: Fencing token of the orders to it.
-        now: The present time.
     """
 
-    def __init__(
-        self,
-        report: EndpointReport,
-        *,
-        token: int,
-        now: float,
-    ) -> None:
+    def __init__(self, report: EndpointReport, *, token: int) -> None:
         self.report = report
-        self.lifetime = report.lifetime
+        self.life = Life(report.lifetime)
         self.phase = Phase.joining
         self.has_joined = False
         self.token = token
-        self.since = now
-        self.clock = EndpointClock()
         self.health = EndpointHealth()
         self.runs: dict[RunKey, Run] = {}
         self.strangers: set[RunKey] = set()
-        self.last_end = 0
-        self.acknowledged_end = 0
         self.hold: Hold | None = None
         self.hold_sent_at: float = 0
         self.silences = 0
-        self.longest_expiry = 0
         self.used = NO_ROOM
 
     @property
@@ -102,7 +105,7 @@
     @property
     def lapses_at(self) -> float:
         """When nothing that was ordered so far can be running."""
-        return self.clock.surely_passed(self.longest_expiry)
+        return self.life.clock.surely_passed(self.life.longest_expiry)
 
     def add(self, run: Run) -> None:
         """Take room for a run."""
@@ -124,17 +127,12 @@
         self.used = NO_ROOM
         return ended
 
-    def fence(self, token: int, phase: Phase, *, now: float) -> None:
+    def fence(self, token: int, phase: Phase) -> None:
         """Void all orders so far, once a hold with this token is answered."""
         self.token = token
         self.phase = phase
-        self.since = now
         self.hold = None
 
     def begin_lifetime(self, lifetime: int) -> None:
         """Forget what was known of an earlier lifetime."""
-        self.lifetime = lifetime
-        self.clock = EndpointClock()
-        self.last_end = 0
-        self.acknowledged_end = 0
-        self.longest_expiry = 0
+        self.life = Life(lifetime)
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -58,9 +58,9 @@
     task: Task,
     step: Step,
     now: float,
-) -> tuple[float, ...]:
+) -> list[float]:
     health = endpoint.health
-    return (
+    return [
         health.is_aside(now=now),
         endpoint.report.endpoint in task.failed_on,
         health.lag > SLOW_LAG,
@@ -68,4 +68,4 @@
         bool(step.rack) and step.rack not in endpoint.report.labels,
         health.is_blamed,
         endpoint.free.millicores,
-    )
+    ]
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -68,7 +68,7 @@
         now: float,
     ) -> Iterator[Effect]:
         """Void all orders that an endpoint has not answered."""
-        endpoint.fence(self.tokens.take(), Phase.voiding, now=now)
+        endpoint.fence(self.tokens.take(), Phase.voiding)
         yield Noted(
             'endpoint.orders_voided',
             (
@@ -119,15 +119,17 @@
             # Whoever started them may count on the lease to end.
             return self._make_hold(endpoint, now, wait_ms=_WAIT_MS)
         if endpoint.runs:
-            expiry = endpoint.clock.expiry_after(LEASE_SECONDS, now=now)
-            endpoint.longest_expiry = max(endpoint.longest_expiry, expiry)
+            expiry = endpoint.life.clock.expiry_after(LEASE_SECONDS, now=now)
+            endpoint.life.longest_expiry = max(
+                endpoint.life.longest_expiry, expiry
+            )
             return self._make_hold(
                 endpoint,
                 now,
                 expires_ms=expiry,
                 wait_ms=_WAIT_MS,
             )
-        unacknowledged = endpoint.last_end > endpoint.acknowledged_end
+        unacknowledged = endpoint.life.last_end > endpoint.life.acknowledged_end
         if unacknowledged and now - endpoint.hold_sent_at > _END_SECONDS:
             return self._make_hold(endpoint, now)
         return None
@@ -147,7 +149,7 @@
             address=endpoint.report.address,
             number=self._holds,
             token=endpoint.token,
-            last_end=endpoint.last_end,
+            last_end=endpoint.life.last_end,
             expires_ms=expires_ms,
             wait_ms=wait_ms,
             fresh=fresh,
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -244,10 +244,6 @@
                 self._hear_control(sender, message, now)
             case EntryBeat():
                 self._hear_entry(sender, message, now)
-            case Submit() if self._lead is not None:
-                self._submit(self._lead, sender, message, now)
-            case Dropped() if self._lead is not None:
-                self._lead.drop(sender, message, now=now)
             case EndpointNews():
                 self._observe(message.report)
             case EndpointLeft():
@@ -256,16 +252,21 @@
                 self._register.learn(message)
             case _ if isinstance(message, MESSAGES):
                 self._register.receive(sender, message)
+            case _ if self._lead is not None:
+                self._dispatch(self._lead, sender, message, now)
 
-    def _submit(
+    def _dispatch(
         self,
         lead: Lead,
         entry: InstanceId,
-        submit: Submit,
+        message: Any,
         now: float,
     ) -> None:
-        touch = now - self._met_at.get(entry, now)
-        lead.submit(entry, submit, is_warm=touch > _WARM_SECONDS, now=now)
+        if isinstance(message, Dropped):
+            lead.drop(entry, message, now=now)
+        elif isinstance(message, Submit):
+            touch = now - self._met_at.get(entry, now)
+            lead.submit(entry, message, is_warm=touch > _WARM_SECONDS, now=now)
 
     def _hear_control(
         self,
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -75,11 +75,6 @@
         """Jobs of which nothing was started, by queue."""
         return self._waiting
 
-    @property
-    def open_jobs(self) -> int:
-        """Jobs that callers wait for."""
-        return self._desk.waiting
-
     async def start(self) -> None:
         """Link up with the control instances."""
         await self._mesh.start()
@@ -92,6 +87,11 @@
             self._ticker.cancel()
         await self._mesh.stop()
 
+    async def wait_idle(self) -> None:
+        """Wait until no caller waits for a job."""
+        while self._answers:
+            await asyncio.wait(tuple(self._answers.values()))
+
     async def run_job(
         self,
         request: JobRequest,
--- a/src/cuminstack/settings/__init__.py
+++ b/src/cuminstack/settings/__init__.py
@@ -22,7 +22,7 @@
     Settings,
     TimeoutSettings,
 )
-from cuminstack.settings._values import Address
+from cuminstack.settings._values import Address, NotReadable
 
 __all__ = (
     'Address',
@@ -35,6 +35,7 @@
     'LogLevel',
     'LogSettings',
     'MissingKey',
+    'NotReadable',
     'PeerSettings',
     'Settings',
     'SettingsFault',
