Try a task that failed elsewhere, and a failing endpoint with one run

Cause: a task that failed was tried again at the same endpoint while others were full, and each trial of a failing endpoint took as many tasks as it had room; a job that fails everywhere left blame at endpoints whose runs ended after it had failed. Found by tests of the real dispatcher around workers on simulated time (tests/test_pool.py, 33 cases: calm, unanswered and late orders, silent endpoints, takeover, grey failure, convoy).

Change: a task waits for an endpoint that hasn't failed it; one run at a time until one is done; runs of ended jobs blame nobody.

--- a/src/cuminstack/pool/_health.py
+++ b/src/cuminstack/pool/_health.py
@@ -36,6 +36,11 @@
         """Whether the last run here failed."""
         return bool(self._blamed_by)
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether it has to do one task well before it gets more."""
+        return len(self._blamed_by) >= _FAILURES_IN_ROW
+
     def is_aside(self, *, now: float) -> bool:
         """Tell whether it gets no tasks while others can take them."""
         return now < self._aside_until
@@ -57,16 +62,16 @@
     def failed(self, job: JobKey, *, now: float) -> bool:
         """Take a failed run; tell whether the endpoint is put aside."""
         self._blamed_by.add(job)
-        if len(self._blamed_by) < _FAILURES_IN_ROW:
-            return False
-        self.put_aside(now=now)
-        return True
+        if self.is_on_trial:
+            self.put_aside(now=now)
+        return self.is_on_trial
 
     def absolve(self, job: JobKey) -> None:
         """Take that a job fails wherever it runs."""
         self._blamed_by.discard(job)
-        if len(self._blamed_by) < _FAILURES_IN_ROW:
+        if not self.is_on_trial:
             self._aside_until = 0
+            self._pause = _FIRST_PAUSE
 
     def put_aside(self, *, now: float) -> None:
         """Give it no tasks for a while, longer each time."""
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -1,6 +1,6 @@
 """Where a task goes: the endpoint that suits it best."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import Final
 
 from cuminstack.pool._endpoint import Endpoint
@@ -13,7 +13,7 @@
 
 
 def find_endpoint(
-    endpoints: Iterable[Endpoint],
+    endpoints: Sequence[Endpoint],
     job: Job,
     task: Task,
     *,
@@ -31,15 +31,21 @@
         now: The present time.
     """
     step = job.steps[task.key.step]
-    fitting = [each for each in endpoints if _fits(each, task, step)]
+    untried = [
+        each for each in endpoints if each.report.endpoint not in task.failed_on
+    ]
+    # It waits for an endpoint that hasn't failed it, if there is any.
+    fitting = [each for each in untried or endpoints if _fits(each, task, step)]
     if not fitting:
         return None
-    return min(fitting, key=lambda each: _rank(each, task, step, now))
+    return min(fitting, key=lambda each: _rank(each, step, now))
 
 
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
     if not endpoint.free.holds(step.needs):
         return False
+    if endpoint.health.is_on_trial and endpoint.runs:
+        return False
     if step.label and step.label not in endpoint.report.labels:
         return False
     return not step.spread or _copies(endpoint, task) < step.spread
@@ -55,14 +61,12 @@
 
 def _rank(
     endpoint: Endpoint,
-    task: Task,
     step: Step,
     now: float,
 ) -> list[float]:
     health = endpoint.health
     return [
         health.is_aside(now=now),
-        endpoint.report.endpoint in task.failed_on,
         health.lag > SLOW_LAG,
         endpoint.report.cold_seconds > _COLD_SECONDS,
         bool(step.rack) and step.rack not in endpoint.report.labels,
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -147,7 +147,7 @@
         task.state = TaskState.waiting
         if end.kind is EndKind.done:
             yield from self._task_done(endpoint, job, task, run, now)
-        elif end.kind is EndKind.failed:
+        elif end.kind is EndKind.failed and not job.abandoned:
             yield from self._task_failed(endpoint, job, task, now)
         self._jobs.settle(job)
 
@@ -186,15 +186,21 @@
             )
         task.failures += 1
         task.failed_on = (*task.failed_on, endpoint.report.endpoint)
-        if task.failures < job.terms.attempts or job.abandoned:
+        if task.failures < job.terms.attempts:
             return
-        for name in task.failed_on:
-            blamed = self._endpoints.get(name)
-            if blamed is not None and task.failures > 1:
-                blamed.health.absolve(key.job)
+        if len(set(task.failed_on)) > 1:
+            self._absolve(job)
         yield self._jobs.end(job, JobState.failed, now=now)
         yield from self.stop_all(job, now)
 
+    def _absolve(self, job: Job) -> None:
+        """Take that a job fails wherever it runs."""
+        for task in job.tasks.values():
+            for name in task.failed_on:
+                blamed = self._endpoints.get(name)
+                if blamed is not None:
+                    blamed.health.absolve(task.key.job)
+
     def stop_all(self, job: Job, now: float) -> Iterator[Effect]:
         """Stop what runs of a job."""
         for task in job.tasks.values():
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,262 @@
+"""The dispatcher over a pool: what must hold, and how it meets loads."""
+
+from functools import partial
+
+import pytest
+
+from cuminstack.core import JobKey
+from cuminstack.pool import JobState, order_names
+from fakes_pool import ENTRY, JobPlan, PoolWorld
+
+
+def _mix(world: PoolWorld, jobs: int, *, gap: float = 0.03) -> None:
+    """Submit wide short jobs, long ones and narrow ones."""
+    shapes = ((8, 0.06), (4, 0.9), (2, 0.2), (2, 0.2), (2, 0.2))
+    for number in range(jobs):
+        width, seconds = world.chance.choice(shapes)
+        plan = JobPlan(
+            str(number),
+            width,
+            seconds * world.chance.uniform(0.6, 1.6),
+            declared=seconds,
+        )
+        world.after(number * gap, partial(world.submit, plan))
+
+
+def _ended(world: PoolWorld) -> int:
+    return sum(
+        result.state is JobState.completed for result in world.results.values()
+    )
+
+
+class TestCalm:
+    """Without faults."""
+
+    def test_job_runs_at_once(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 6, 0.1))
+        world.run_for(1)
+        world.check()
+        assert world.took_ms('a') < 120
+
+    def test_room_is_never_exceeded(self) -> None:
+        world = PoolWorld(workers=2)
+        world.submit(JobPlan('a', 20, 0.1))
+        world.run_for(2)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+        assert len(world.spans) == 20
+
+    def test_too_large_is_refused_at_once(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 1, 0.1, millicores=17000))
+        assert world.results['a'].state is None
+
+    def test_idle_endpoints_are_not_asked(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 3, 0.1))
+        world.run_for(2)
+        before = world.orders
+        world.run_for(5)
+        assert world.orders == before
+
+    def test_dropped_job_is_stopped(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 9, 2))
+        world.run_for(0.1)
+        world.perform(world.dispatcher.drop(JobKey('a'), now=world.now))
+        world.run_for(0.2)
+        assert all(span.ended is not None for span in world.spans)
+        world.submit(JobPlan('b', 6, 0.1))
+        world.run_for(1)
+        world.check()
+        assert world.took_ms('b') < 120
+
+    def test_dropped_job_comes_again(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 6, 0.3))
+        world.run_for(0.1)
+        world.perform(world.dispatcher.drop(JobKey('a'), now=world.now))
+        world.submit(JobPlan('a', 6, 0.3))
+        world.run_for(2)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
+
+class TestUnansweredOrders:
+    """Orders whose answers are lost, or that are carried out late."""
+
+    def test_lost_answers_cost_little(self) -> None:
+        world = PoolWorld(seed=2)
+        for worker in world.workers.values():
+            worker.faults.lose_answers = 0.2
+        world.submit(JobPlan('a', 6, 0.1))
+        world.run_for(3)
+        world.check()
+        assert world.took_ms('a') < 600
+
+    @pytest.mark.parametrize('seed', range(6))
+    def test_late_orders_never_run_beside_others(self, seed: int) -> None:
+        world = PoolWorld(seed=seed, workers=6)
+        for worker in world.workers.values():
+            worker.faults.late_orders = 0.1
+        _mix(world, 60)
+        world.run_for(12)
+        world.check()
+        assert _ended(world) == 60
+
+
+class TestSilentEndpoints:
+    """Endpoints that are cut off, crash, or come back."""
+
+    def test_tasks_run_elsewhere_after_the_lease(self) -> None:
+        world = PoolWorld(workers=4)
+        world.submit(JobPlan('a', 4, 0.5))
+        world.run_for(0.1)
+        lost = world.workers[world.spans[0].worker]
+        lost.faults.dark = True
+        world.run_for(3)
+        world.check()
+        assert world.took_ms('a') < 1500
+
+    def test_cut_endpoint_comes_back(self) -> None:
+        world = PoolWorld(workers=1)
+        world.workers['w0'].faults.dark = True
+        world.submit(JobPlan('a', 2, 0.1))
+        world.run_for(3)
+        world.workers['w0'].faults.dark = False
+        world.run_for(3)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
+    def test_crashed_endpoint_comes_back(self) -> None:
+        world = PoolWorld(workers=1)
+        world.submit(JobPlan('a', 2, 0.3))
+        world.run_for(0.1)
+        world.workers['w0'].crash(world.now)
+        world.run_for(4)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
+
+class TestTakeover:
+    """Another dispatcher takes over."""
+
+    def test_running_tasks_are_claimed(self) -> None:
+        world = PoolWorld()
+        world.submit(JobPlan('a', 6, 0.4))
+        world.run_for(0.1)
+        world.lead(term=2)
+        world.submit(world.plans[JobKey('a')], held=1)
+        world.run_for(2)
+        world.check()
+        assert len(world.spans) == 6
+        assert world.took_ms('a') < 450
+
+    def test_unclaimed_tasks_lapse(self) -> None:
+        world = PoolWorld(workers=1)
+        world.submit(JobPlan('a', 2, 3))
+        world.run_for(0.1)
+        world.lead(term=2)
+        world.run_for(0.6)
+        assert all(span.ended is not None for span in world.spans)
+
+    @pytest.mark.parametrize('seed', range(6))
+    def test_old_orders_are_void(self, seed: int) -> None:
+        world = PoolWorld(seed=seed, workers=6)
+        for worker in world.workers.values():
+            worker.faults.late_orders = 0.1
+        _mix(world, 40)
+        world.run_for(0.6)
+        world.lead(term=2)
+        open_jobs = set(world.submitted) - set(world.results)
+        for key in sorted(open_jobs):
+            world.submit(world.plans[JobKey(key)], held=1)
+        world.run_for(12)
+        world.check()
+        assert _ended(world) == 40
+
+    def test_silent_entry_starts_nothing(self) -> None:
+        world = PoolWorld(workers=1)
+        world.submit(JobPlan('a', 8, 0.2))
+        world.run_for(0.1)
+        begun = len(world.spans)
+        world.dispatcher.entry_heard(ENTRY, world.now)
+        # Time passes at the dispatcher without a word of the entry.
+        for moment in range(1, 20):
+            later = world.now + 0.3 + moment / 100
+            orders = world.dispatcher.tick(now=later)
+            assert not any('StartRun' in repr(each) for each in orders)
+        assert begun == 2
+
+
+class TestBadEndpoints:
+    """Grey failure: endpoints that answer but do no good work."""
+
+    def test_failing_endpoint_is_put_aside(self) -> None:
+        world = PoolWorld(workers=4)
+        world.workers['w0'].faults.fails = True
+        _mix(world, 60)
+        world.run_for(16)
+        world.check()
+        assert _ended(world) == 60
+        failures = [span for span in world.spans if span.worker == 'w0']
+        assert len(failures) < 20
+
+    def test_poison_job_fails_and_condemns_nobody(self) -> None:
+        world = PoolWorld(workers=4)
+        for number in range(6):
+            world.submit(JobPlan(f'p{number}', 2, 0.05, poison=True))
+        world.run_for(1)
+        assert all(
+            result.state is JobState.failed for result in world.results.values()
+        )
+        world.submit(JobPlan('a', 8, 0.1))
+        world.run_for(1)
+        assert world.took_ms('a') < 130
+
+    def test_hanging_task_is_moved(self) -> None:
+        world = PoolWorld(workers=4)
+        world.workers['w0'].faults.hangs = True
+        for number in range(4):
+            world.submit(JobPlan(f'a{number}', 2, 0.2))
+        world.run_for(3)
+        world.check()
+        assert all(world.took_ms(f'a{number}') < 1000 for number in range(4))
+
+    def test_slow_endpoint_loses_its_tasks(self) -> None:
+        world = PoolWorld(workers=4)
+        world.workers['w0'].faults.slow = 7
+        world.submit(JobPlan('a', 8, 0.5))
+        world.run_for(6)
+        world.check()
+        assert world.took_ms('a') < 1600
+
+    def test_long_job_is_not_moved(self) -> None:
+        world = PoolWorld(workers=4)
+        world.submit(JobPlan('a', 8, 1.5, declared=0.3))
+        world.run_for(3)
+        assert len(world.spans) == 8
+
+
+class TestOrder:
+    """Who waits when there is less room than work."""
+
+    def test_orders_are_registered(self) -> None:
+        assert 'useful-first' in order_names()
+
+    def test_convoy_behind_a_wide_job(self) -> None:
+        world = PoolWorld(workers=2)
+        world.submit(JobPlan('wide', 40, 0.2))
+        world.run_for(0.05)
+        for number in range(3):
+            world.submit(JobPlan(f'n{number}', 1, 0.05))
+        world.run_for(5)
+        assert all(world.took_ms(f'n{number}') < 600 for number in range(3))
+
+    def test_no_starvation_of_a_wide_job(self) -> None:
+        world = PoolWorld(workers=2)
+        world.submit(JobPlan('wide', 12, 0.2))
+        _mix(world, 30, gap=0.4)
+        world.run_for(14)
+        assert world.took_ms('wide') < 5000
