Refuse what can't be served before its deadline, and take over within a lease

Cause: leases (0.48 s) ended before another dispatcher could claim what ran (0.45 s to choose one), so each takeover ran all running tasks anew; answers to holds that were lost were missed for 0.2 s; restarted control instances knew no endpoint for up to 1.5 s; jobs that could not be served were held.

--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -146,7 +146,7 @@
             known.deadline = max(known.deadline, deadline)
             return ()
         lost_for = now - self._heard_at
-        if lost_for > LEADERLESS_SECONDS or self._leader is None:
+        if lost_for > LEADERLESS_SECONDS:
             refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
             return (Answered(request.key, refusal),)
         pending = _Pending(request, terms, now, deadline)
--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -1,10 +1,12 @@
-"""Which jobs are refused at once, as they can't be served."""
+"""Which jobs are refused, as they can't be served in time to be of use."""
 
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from cuminstack.pool._endpoint import Endpoint, Phase
-from cuminstack.pool._jobs import Job, Submission
+from cuminstack.pool._jobs import Job
+from cuminstack.pool._orders import Order
 from cuminstack.pool._records import JobRefused, RefusalReason, Step
 
 #: When a caller may come back if no endpoint is known; they send a
@@ -12,34 +14,84 @@
 _NO_ENDPOINT_SECONDS: Final = 1.5
 #: When it may come back if no endpoint is large enough; one may join.
 _NO_ROOM_SECONDS: Final = 5.0
+#: Share of the room that tasks of unequal size can use at once: three tasks
+#: of 6.8 cores fit into 24, and two into 16.
+_PACKED_SHARE: Final = 0.85
+#: Share of a running task that is still to do, on average.
+_LEFT_SHARE: Final = 0.5
 
 
-def refusal_of(
-    submission: Submission,
-    endpoints: Collection[Endpoint],
-    jobs: Iterable[Job],
-    *,
-    now: float,
-) -> JobRefused | None:
-    """Give the refusal of a job that can't be served.
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a job has to wait for.
 
     Args:
-        submission: The job.
         endpoints: Those of its service.
         jobs: The jobs that were taken before.
+        order: In which order waiting jobs get room.
+    """
+
+    endpoints: Collection[Endpoint]
+    jobs: Collection[Job]
+    order: Order
+
+    def wait_of(self, job: Job, *, now: float) -> float:
+        """Give the seconds until a job that arrives now gets room."""
+        key = self.order(job, now)
+        ahead = [
+            other.waiting_work
+            for other in self.jobs
+            if other.terms.service == job.terms.service
+            and self.order(other, now) <= key
+        ]
+        waiting = sum(ahead)
+        if not waiting:
+            return 0
+        room = sum(
+            endpoint.report.room.millicores
+            for endpoint in self.endpoints
+            if endpoint.takes_starts and not endpoint.health.is_aside(now=now)
+        )
+        running = sum(other.running_work for other in self.jobs) * _LEFT_SHARE
+        return (waiting + running) / max(1, room * _PACKED_SHARE)
+
+
+def refusal_of(job: Job, load: Load, *, now: float) -> JobRefused | None:
+    """Give the refusal of a job that can't be served.
+
+    Args:
+        job: A job that arrives now.
+        load: What it has to wait for.
         now: The present time.
     """
-    key = submission.request.key
-    entry = submission.entry
-    alive = [each for each in endpoints if each.phase is not Phase.gone]
+    alive = [each for each in load.endpoints if each.phase is not Phase.gone]
     if not alive:
         reason = RefusalReason.not_serving
-        return JobRefused(key, entry, reason, _NO_ENDPOINT_SECONDS)
-    steps = submission.request.steps
-    if not all(_fits_anywhere(step, alive) for step in steps):
-        reason = RefusalReason.no_room
-        return JobRefused(key, entry, reason, _NO_ROOM_SECONDS)
-    return None
+        return _refuse(job, reason, _NO_ENDPOINT_SECONDS)
+    if not all(_fits_anywhere(step, alive) for step in job.steps):
+        return _refuse(job, RefusalReason.no_room, _NO_ROOM_SECONDS)
+    wait = load.wait_of(job, now=now)
+    if job.finish_after(now + wait) <= job.submission.deadline:
+        return None
+    return _refuse(job, RefusalReason.overload, wait)
+
+
+def refusal_of_waiting(
+    job: Job, load: Load, *, now: float
+) -> JobRefused | None:
+    """Give the refusal of a job that has waited too long to be of use.
+
+    Only a job of which nothing ever ran may be refused.
+    """
+    if job.may_have_run or job.finish_after(now) <= job.submission.deadline:
+        return None
+    wait = load.wait_of(job, now=now)
+    return _refuse(job, RefusalReason.overload, wait)
+
+
+def _refuse(job: Job, reason: RefusalReason, seconds: float) -> JobRefused:
+    submission = job.submission
+    return JobRefused(submission.request.key, submission.entry, reason, seconds)
 
 
 def _fits_anywhere(step: Step, endpoints: Iterable[Endpoint]) -> bool:
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
-from cuminstack.pool._admission import refusal_of
+from cuminstack.pool._admission import Load, refusal_of, refusal_of_waiting
 from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._job_table import JobTable
-from cuminstack.pool._jobs import Submission
+from cuminstack.pool._jobs import Job, Submission
 from cuminstack.pool._notes import (
     note_ready,
     note_refusal,
@@ -63,6 +63,7 @@
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._heard_at: dict[EndpointId, float] = {}
         self._jobs = JobTable(term=term)
+        self._order = order
         self._runs = RunKeeper(self._endpoints, self._jobs)
         self._assigner = Assigner(self._endpoints, self._jobs, order=order)
 
@@ -139,16 +140,13 @@
         answer = self._jobs.answer_of(key)
         if answer is not None:
             return (JobEnded(key, entry, answer),)
-        if not self.knows(key):
-            refusal = refusal_of(
-                submission,
-                self._assigner.pool_of(submission.terms.service),
-                self._jobs.live,
-                now=now,
-            )
-            if refusal is not None:
+        job = self._jobs.resume(submission)
+        if job is None:
+            job = self._jobs.make(submission)
+            refusal = refusal_of(job, self._load_of(job), now=now)
+            if refusal is not None and not job.may_have_run:
                 return (refusal, note_refusal(refusal))
-        job = self._jobs.add(submission)
+            self._jobs.add(job)
         self._runs.claim(job, now=now)
         return self._assigner.assign(now=now)
 
@@ -276,9 +274,23 @@
             effects.extend(self._watch.tend(endpoint, now=now))
             effects.extend(self._write_off(endpoint, now))
         self._jobs.sweep(now=now)
+        effects.extend(self._refuse_hopeless(now))
         effects.extend(self._assigner.assign(now=now))
         return tuple(effects)
 
+    def _load_of(self, job: Job) -> Load:
+        endpoints = self._assigner.pool_of(job.terms.service)
+        return Load(endpoints, self._jobs.live, self._order)
+
+    def _refuse_hopeless(self, now: float) -> Iterator[Effect]:
+        for job in self._jobs.live:
+            refusal = refusal_of_waiting(job, self._load_of(job), now=now)
+            if refusal is not None:
+                self._jobs.abandon(job, now=now)
+                self._jobs.settle(job)
+                yield refusal
+                yield note_refusal(refusal)
+
     def _write_off(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
         if endpoint.phase is Phase.voiding and now > endpoint.lapses_at:
             endpoint.phase = Phase.silent
--- a/src/cuminstack/pool/_job_table.py
+++ b/src/cuminstack/pool/_job_table.py
@@ -1,6 +1,5 @@
 """The jobs of a dispatcher, from submission until they are forgotten."""
 
-from collections.abc import Iterator
 from typing import Final
 
 from cuminstack.core import JobKey
@@ -34,9 +33,9 @@
         self._times = RunTimes()
 
     @property
-    def live(self) -> Iterator[Job]:
+    def live(self) -> tuple[Job, ...]:
         """Jobs that someone waits for."""
-        return (job for job in self._jobs.values() if not job.abandoned)
+        return tuple(job for job in self._jobs.values() if not job.abandoned)
 
     def begin_term(self, term: int) -> None:
         """Number runs of new jobs above those of earlier terms."""
@@ -56,24 +55,31 @@
         ended = self._ended.get(key)
         return None if ended is None else ended[1]
 
-    def add(self, submission: Submission) -> Job:
-        """Take a job; one that is known gets the new entry and deadline."""
-        key = submission.request.key
-        job = self._jobs.get(key)
+    def resume(self, submission: Submission) -> Job | None:
+        """Give a job that is known the new entry and deadline."""
+        job = self._jobs.get(submission.request.key)
         if job is not None:
             job.submission = submission
             job.abandoned = False
-            return job
-        _, _, number = self._ended.pop(key, (0, None, 0))
+        return job
+
+    def add(self, job: Job) -> None:
+        """Take a job."""
+        key = job.submission.request.key
+        self._ended.pop(key, None)
+        self._jobs[key] = job
+
+    def make(self, submission: Submission) -> Job:
+        """Make a job, with run numbers above those that were used."""
+        key = submission.request.key
+        _, _, number = self._ended.get(key, (0, None, 0))
         number = max(number, self._first_number)
         queue = submission.terms.name
         seconds = tuple(
             self._times.expect(queue, step.estimate)
             for step in submission.request.steps
         )
-        job = Job(submission, first_number=number, seconds=seconds)
-        self._jobs[key] = job
-        return job
+        return Job(submission, first_number=number, seconds=seconds)
 
     def learn(self, job: Job, task: Task, seconds: float) -> None:
         """Take the run time of a task that is done."""
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -3,6 +3,7 @@
 import enum
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId
 from cuminstack.pool._records import (
@@ -13,6 +14,11 @@
 )
 
 
+#: Times the objective after which an answer has lost its use to most
+#: callers.
+_USEFUL_SPAN: Final = 3.0
+
+
 class TaskState(enum.Enum):
     """Where a task stands."""
 
@@ -88,6 +94,7 @@
         self.submission = submission
         self.seconds = seconds
         self.abandoned = False
+        self._first_number = first_number
         self.ratios: dict[TaskKey, tuple[EndpointId, float]] = {}
         self.tasks = {
             key: Task(key, first_number)
@@ -114,9 +121,14 @@
     def is_started(self) -> bool:
         """Whether a task was started."""
         return any(
-            task.state is not TaskState.waiting for task in self.tasks.values()
+            task.number > self._first_number for task in self.tasks.values()
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a task was started here or by another dispatcher."""
+        return self.is_started or bool(self.submission.held_until)
+
     @property
     def runs_anything(self) -> bool:
         """Whether a task has a run that has not ended."""
@@ -131,15 +143,26 @@
         chain = self._longest_chain() * terms.stretch + terms.slack
         return self.submission.arrived_at + chain
 
+    @property
+    def useful_until(self) -> float:
+        """When an answer has lost its use, or the caller has left."""
+        arrived_at = self.submission.arrived_at
+        span = (self.objective - arrived_at) * _USEFUL_SPAN
+        return min(arrived_at + span, self.submission.deadline)
+
     @property
     def waiting_work(self) -> float:
-        """Core-seconds of the tasks that wait."""
-        return sum(
-            self.seconds[task.key.step]
-            * self.steps[task.key.step].needs.millicores
-            for task in self.tasks.values()
-            if task.state is TaskState.waiting
-        )
+        """Work of the tasks that wait, in seconds of a millicore."""
+        return self._work_of(TaskState.waiting)
+
+    @property
+    def running_work(self) -> float:
+        """Work of the tasks that run, in seconds of a millicore."""
+        return self._work_of(TaskState.placed)
+
+    def finish_after(self, start: float) -> float:
+        """Give when the job is done if it starts at a time."""
+        return start + self._longest_chain()
 
     def ready_tasks(self) -> Iterator[Task]:
         """List the tasks that may be started now."""
@@ -169,6 +192,14 @@
             task.state = TaskState.done
             self._undone[task.key.step] -= 1
 
+    def _work_of(self, state: TaskState) -> float:
+        return sum(
+            self.seconds[task.key.step]
+            * self.steps[task.key.step].needs.millicores
+            for task in self.tasks.values()
+            if task.state is state
+        )
+
     def _is_open(self, step: int) -> bool:
         after = self.steps[step].after
         return not any(self._undone[earlier] for earlier in after)
--- a/src/cuminstack/pool/_orders.py
+++ b/src/cuminstack/pool/_orders.py
@@ -10,8 +10,9 @@
 
 _orders: dict[str, Order] = {}
 
-#: Times the objective after which an answer has lost its use to most callers.
-_USEFUL_SPAN: Final = 3.0
+#: Times as much work that a job of a less urgent queue counts for, each
+#: level: urgent jobs go first unless they are much larger.
+_PRIORITY_FACTOR: Final = 3.0
 
 
 def order(name: str) -> Callable[[Order], Order]:
@@ -58,14 +59,12 @@
 
 @order('useful-first')
 def useful_first(job: Job, now: float) -> SortKey:
-    """Put jobs first that can still be in time, then by least work.
+    """Put jobs first that can be in time, then urgent and small ones.
 
     A job that missed its objective waits behind those that can meet theirs,
     and one that is past all use behind both.
     """
-    needed = max(job.seconds, default=0)
-    finish = now + needed
-    span = job.objective - job.submission.arrived_at
-    useful_until = job.submission.arrived_at + span * _USEFUL_SPAN
-    band = int(finish > job.objective) + int(finish > useful_until)
-    return (band, job.waiting_work, job.submission.arrived_at)
+    finish = job.finish_after(now)
+    band = int(finish > job.objective) + int(finish > job.useful_until)
+    weighted = job.waiting_work * _PRIORITY_FACTOR**job.terms.priority
+    return (band, weighted, job.submission.arrived_at)
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import zlib
+from dataclasses import replace
 from typing import Any, Final
 
 from cuminstack.core import EndpointId, InstanceId
@@ -23,18 +24,20 @@
 from cuminstack.pool import EndpointReport
 from cuminstack.roles._clock import steady_now
 from cuminstack.roles._lead import Lead
+from cuminstack.roles._memory import EndpointMemory, TermMemory
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 from cuminstack.roles._register import MESSAGES, RegisterShell
-from cuminstack.roles._terms import TermFile
 from cuminstack.settings import LogLevel
 
 #: Seconds between two turns of the clockwork; order time-outs are 60 ms.
 _TICK_SECONDS: Final = 0.02
 #: Turns between heartbeats, so that three fit into the silence after which
 #: an instance counts as lost.
-_TURNS_OF_BEAT: Final = 5
+_TURNS_OF_BEAT: Final = 3
+#: Turns between looks at whether endpoints came or went: each second.
+_TURNS_OF_MEMORY: Final = 50
 #: Turns between heartbeats to entries while this instance doesn't lead.
-_TURNS_OF_IDLE_BEAT: Final = 25
+_TURNS_OF_IDLE_BEAT: Final = 24
 #: Reports older than this, in seconds, are of endpoints that are gone.
 _REPORT_SECONDS: Final = 20.0
 #: Seconds of touch with an entry until an instance has heard of every
@@ -62,10 +65,10 @@
     ) -> None:
         self._settings = settings
         self._client = client
-        self._term_file = TermFile(settings.data_folder)
+        self._terms = TermMemory(settings.data_folder)
         self._election = Election(
             settings.own,
-            highest_term=self._term_file.load(),
+            highest_term=self._terms.load(),
             now=steady_now(),
         )
         self._lead: Lead | None = None
@@ -73,6 +76,9 @@
         self._entries: dict[InstanceId, float] = {}
         self._met_at: dict[InstanceId, float] = {}
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {}
+        self._endpoint_file = EndpointMemory(settings.data_folder)
+        for report in self._endpoint_file.load():
+            self._reports[report.endpoint] = (report, steady_now())
         self._turns = 0
         self._leaves = False
         self._ticker: asyncio.Task[None] | None = None
@@ -146,13 +152,25 @@
     def _tick(self, now: float) -> None:
         self._turns += 1
         self._election.tick(weight=self._weight(now), now=now)
-        self._term_file.keep(self._election.highest_term)
+        self._terms.keep(self._election.highest_term)
         self._follow_election(now)
         if self._lead is not None:
             self._lead.tick(now=now)
         self._register.tick(self._controls)
         if self._turns % _TURNS_OF_BEAT == 0:
             self._beat(now)
+        if self._turns % _TURNS_OF_MEMORY == 0:
+            self._remember_endpoints(now)
+
+    def _remember_endpoints(self, now: float) -> None:
+        for report, heard_at in tuple(self._reports.values()):
+            if now - heard_at > _REPORT_SECONDS:
+                self._reports.pop(report.endpoint)
+        # What changes with each heartbeat is not worth a sync.
+        self._endpoint_file.keep(
+            replace(report, sequence=0, cold_seconds=0)
+            for report, _ in self._reports.values()
+        )
 
     def _weight(self, now: float) -> int:
         entries = 0
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -19,6 +19,8 @@
             width,
             seconds * world.chance.uniform(0.6, 1.6),
             declared=seconds,
+            patience=60,
+            slack=20,
         )
         world.after(number * gap, partial(world.submit, plan))
 
