--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -13,7 +13,6 @@
     TaskKey,
 )
 
-
 #: Times the objective after which an answer has lost its use to most
 #: callers.
 _USEFUL_SPAN: Final = 3.0
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -75,7 +75,6 @@
         self._controls: dict[InstanceId, float] = {}
         self._entries: dict[InstanceId, float] = {}
         self._met_at: dict[InstanceId, float] = {}
-        self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {}
         self._endpoint_file = EndpointMemory(settings.data_folder)
         for report in self._endpoint_file.load():
             self._reports[report.endpoint] = (report, steady_now())
