--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -92,7 +92,9 @@
     sent_to: InstanceId | None = None
     sent_at: float = 0
     taken: bool = False
+    may_have_run: bool = False
     may_run_until: float = 0
+    sent_term: int = 0
 
     @property
     def was_sent(self) -> bool:
@@ -111,6 +113,7 @@
         self._pending: dict[JobKey, _Pending] = {}
         self._leader: InstanceId | None = None
         self._has_resigned = False
+        self._term = 0
         self._is_rival = False
         self._rivals: set[InstanceId] = set()
         self._heard_at = now
@@ -196,6 +199,7 @@
             # It may go on starting tasks until it resigns.
             self._rivals.add(sender)
             return ()
+        self._term = beat.term
         effects = self._change_leader(sender, now)
         self._heard_at = now
         return effects
@@ -204,6 +208,7 @@
         self._has_resigned = not beat.term
         if self._has_resigned:
             return ()
+        self._term = beat.term
         self._heard_at = now
         return self._resend(now)
 
@@ -260,6 +265,7 @@
         effects: list[Effect] = []
         for pending in self._pending.values():
             if pending.was_sent:
+                pending.may_have_run = True
                 pending.may_run_until = max(pending.may_run_until, quiet_at)
             pending.taken = False
             effects.extend(self._send(pending, now))
@@ -285,15 +291,27 @@
         for key in keys:
             pending = self._pending.get(key)
             if pending is not None and pending.sent_to == sender:
-                pending.taken = False
+                self._forgotten(pending, now)
                 effects.extend(self._send(pending, now))
         return tuple(effects)
 
+    def _forgotten(self, pending: _Pending, now: float) -> None:
+        """Take that the dispatcher doesn't have a job any more.
+
+        In the same term it knows what it has started; after a restart it
+        doesn't.
+        """
+        pending.taken = False
+        pending.may_have_run = True
+        if pending.sent_term != self._term:
+            pending.may_run_until = now + _QUIET_SECONDS
+
     def _send(self, pending: _Pending, now: float) -> Effects:
         if self._leader is None or not self.has_leader(now=now):
             return ()
         pending.sent_to = self._leader
         pending.sent_at = now
+        pending.sent_term = self._term
         submit = Submit(
             request=pending.request,
             terms=pending.terms,
@@ -302,6 +320,7 @@
             stamp=self._stamps.get(self._leader, 0),
             held=max(0, pending.may_run_until - now),
             from_rival=self._is_rival,
+            resumed=pending.may_have_run,
         )
         return (Send(self._leader, submit),)
 
@@ -315,7 +334,7 @@
         pending = self._pending.get(reply.job)
         if pending is None or pending.sent_to != sender:
             return ()
-        if pending.may_run_until:
+        if pending.may_have_run:
             return self._answer(reply.job, MayHaveRun(Failure.interrupted))
         refusal = NotRun(reply.reason.value, reply.retry_after)
         return self._answer(reply.job, refusal)
--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -86,6 +86,7 @@
             arrived_at=now - submit.waited,
             deadline=now + submit.remaining,
             held_until=now + submit.held if submit.held else 0,
+            is_resumed=submit.resumed,
             is_blind=submit.from_rival or not is_warm,
         )
         effects = self.convey(self._dispatcher.submit(submission, now=now))
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -87,6 +87,7 @@
             of an earlier dispatcher.
         from_rival: Whether that one dispatched beside the receiver, at
             endpoints that the receiver may not know.
+        resumed: Whether tasks of it may have run.
     """
 
     request: JobRequest
@@ -96,6 +97,7 @@
     stamp: float
     held: float = 0
     from_rival: bool = False
+    resumed: bool = False
 
 
 @message('fleet.taken')
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -61,6 +61,7 @@
         deadline: When the caller stops waiting.
         held_until: Until then its tasks may be running at endpoints that
             this dispatcher has not asked.
+        is_resumed: Whether tasks of it may have run.
         is_blind: Whether they may be running at endpoints that it doesn't
             know of.
     """
@@ -71,6 +72,7 @@
     arrived_at: float
     deadline: float
     held_until: float = 0
+    is_resumed: bool = False
     is_blind: bool = False
 
 
@@ -126,7 +128,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a task was started here or by another dispatcher."""
-        return self.is_started or bool(self.submission.held_until)
+        return self.is_started or self.submission.is_resumed
 
     @property
     def runs_anything(self) -> bool:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -76,8 +76,10 @@
         self._entries: dict[InstanceId, float] = {}
         self._met_at: dict[InstanceId, float] = {}
         self._endpoint_file = EndpointMemory(settings.data_folder)
-        for report in self._endpoint_file.load():
-            self._reports[report.endpoint] = (report, steady_now())
+        self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
+            report.endpoint: (report, steady_now())
+            for report in self._endpoint_file.load()
+        }
         self._turns = 0
         self._leaves = False
         self._ticker: asyncio.Task[None] | None = None
@@ -162,9 +164,9 @@
             self._remember_endpoints(now)
 
     def _remember_endpoints(self, now: float) -> None:
-        for report, heard_at in tuple(self._reports.values()):
+        for known, heard_at in tuple(self._reports.values()):
             if now - heard_at > _REPORT_SECONDS:
-                self._reports.pop(report.endpoint)
+                self._reports.pop(known.endpoint)
         # What changes with each heartbeat is not worth a sync.
         self._endpoint_file.keep(
             replace(report, sequence=0, cold_seconds=0)
@@ -202,9 +204,9 @@
             send=self._mesh.send,
             fenced=self._rise,
         )
-        for report, heard_at in tuple(self._reports.values()):
+        for known, heard_at in tuple(self._reports.values()):
             if now - heard_at < _REPORT_SECONDS:
-                self._lead.observe(report, now=now)
+                self._lead.observe(known, now=now)
         self._beat_entries(now)
 
     def _rise(self) -> None:
--- a/tests/fakes_pool.py
+++ b/tests/fakes_pool.py
@@ -156,6 +156,7 @@
             arrived_at=begun,
             deadline=begun + plan.patience,
             held_until=self.now + held if held else 0,
+            is_resumed=held > 0,
         )
         self.dispatcher.entry_heard(ENTRY, self.now)
         self.perform(self.dispatcher.submit(submission, now=self.now))
