--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -17,14 +17,14 @@
 
 #: Silence after which an instance counts as lost, in seconds: three
 #: heartbeats and some.
-SILENCE_SECONDS: Final = 0.25
+SILENCE_SECONDS: Final = 0.35
 #: How long an instance listens after its start before it may lead.
 _SETTLE_SECONDS: Final = 0.5
 #: How long endpoints must have obeyed a later term before one above it is
 #: begun: its dispatcher is met well before, if it is in touch.
 _RISE_SECONDS: Final = 1.0
 #: How long it has to be the first in line, so that beats under way count.
-_PATIENCE_SECONDS: Final = 0.06
+_PATIENCE_SECONDS: Final = 0.1
 #: Seconds for which the word of an entry counts; it gives it twice as often.
 _WORD_SECONDS: Final = 1.0
 #: Seconds of a term in which entries may not have heard of it yet.
--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -14,7 +14,7 @@
 
 #: Seconds of silence of an entry after which its jobs start nothing more.
 #: Shorter than it takes another dispatcher to claim what runs.
-_FRESH_SECONDS: Final = 0.2
+_FRESH_SECONDS: Final = 0.25
 
 
 class Assigner:
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -14,17 +14,16 @@
 from cuminstack.pool._records import Effect, Hold, Noted, RunKey, StopRun
 from cuminstack.pool._tokens import TokenSource
 
-#: Lease of what runs at an endpoint, in seconds.  Twice as long as it takes
-#: to choose another dispatcher, which may claim what runs; no longer, as
-#: tasks at a silent endpoint run elsewhere only when it has passed.
-LEASE_SECONDS: Final = 0.6
-#: How long a hold waits for an end, in milliseconds: ten to a lease, as an
-#: answer that is lost is missed only after that.
-_WAIT_MS: Final = 60
+#: Lease of what runs at an endpoint, in seconds.  It takes about as long to
+#: choose another dispatcher; a longer lease would let it claim more of what
+#: runs, but tasks at a silent endpoint wait for its end.
+LEASE_SECONDS: Final = 0.48
+#: How long a hold waits for an end, in milliseconds: four to a lease.
+_WAIT_MS: Final = 120
 #: Answers take 1 to 3 ms; an order that has none by now is voided.
-_ORDER_PATIENCE: Final = 0.045
+_ORDER_PATIENCE: Final = 0.06
 #: The same for a hold, beyond the time that it waits.
-_HOLD_PATIENCE: Final = 0.045
+_HOLD_PATIENCE: Final = 0.08
 #: Longest pause between holds that get no answer, in seconds.
 _LONGEST_PAUSE: Final = 2.0
 #: Doublings of the pause until it is the longest.
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -33,11 +33,11 @@
 _TICK_SECONDS: Final = 0.02
 #: Turns between heartbeats, so that three fit into the silence after which
 #: an instance counts as lost.
-_TURNS_OF_BEAT: Final = 3
+_TURNS_OF_BEAT: Final = 5
 #: Turns between looks at whether endpoints came or went: each second.
 _TURNS_OF_MEMORY: Final = 50
 #: Turns between heartbeats to entries while this instance doesn't lead.
-_TURNS_OF_IDLE_BEAT: Final = 24
+_TURNS_OF_IDLE_BEAT: Final = 25
 #: Reports older than this, in seconds, are of endpoints that are gone.
 _REPORT_SECONDS: Final = 20.0
 #: Seconds of touch with an entry until an instance has heard of every
