--- /dev/null
+++ b/tests/fakes_document.py
@@ -0,0 +1,166 @@
+"""Documents of several instances over a network that loses and delays."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from cuminstack.core import InstanceId, Send
+from cuminstack.document import (
+    FIRST_DISK,
+    Chosen,
+    DiskId,
+    Document,
+    Done,
+    NewInForce,
+    Outcome,
+    Persist,
+    Replica,
+    ReplicaState,
+    first_state,
+)
+
+
+@dataclass(order=True)
+class _Event:
+    at: float
+    number: int
+    action: Callable[[], None] = field(compare=False)
+
+
+class DocumentWorld:
+    """Control instances with disks, on simulated time."""
+
+    def __init__(self, names: str = 'abc', *, seed: int = 1) -> None:
+        self.now = 100.0
+        self.chance = random.Random(seed)
+        self.loss: float = 0
+        self.cut: set[frozenset[InstanceId]] = set()
+        self.down: set[InstanceId] = set()
+        self.disks: dict[InstanceId, ReplicaState] = {}
+        self.lives: dict[InstanceId, int] = {}
+        self.documents: dict[InstanceId, Document] = {}
+        self.outcomes: dict[int, Outcome] = {}
+        self._tickets = count(1)
+        self._numbers = count()
+        self._events: list[_Event] = []
+        founders = tuple(
+            Replica(InstanceId(name), FIRST_DISK) for name in names
+        )
+        for founder in founders:
+            self.disks[founder.instance] = first_state(FIRST_DISK, founders)
+            self.boot(founder.instance)
+
+    def boot(self, name: InstanceId) -> None:
+        """Start an instance from its disk."""
+        self.down.discard(name)
+        self.lives[name] = self.lives.get(name, 0) + 1
+        self.documents[name] = Document(
+            name,
+            self.disks[name],
+            chance=self.chance,
+        )
+
+    def stop(self, name: InstanceId) -> None:
+        """Take the power of an instance."""
+        self.down.add(name)
+        self.lives[name] += 1
+
+    def wipe(self, name: InstanceId, disk: int) -> None:
+        """Start an instance with an empty disk."""
+        self.disks[name] = first_state(DiskId(disk))
+        self.boot(name)
+
+    def submit(self, name: str, version: int, body: bytes) -> int:
+        """Submit a document; gives the ticket of its outcome."""
+        ticket = next(self._tickets)
+        document = self.documents[InstanceId(name)]
+        self.perform(
+            InstanceId(name),
+            document.submit(version, body, ticket=ticket, now=self.now),
+        )
+        return ticket
+
+    def read(self, name: str) -> int:
+        """Read through a majority; gives the ticket of the outcome."""
+        ticket = next(self._tickets)
+        document = self.documents[InstanceId(name)]
+        self.perform(
+            InstanceId(name),
+            document.read(ticket=ticket, now=self.now),
+        )
+        return ticket
+
+    def join(self, name: str, leaves: Replica | None) -> None:
+        """Have an instance ask to vote."""
+        document = self.documents[InstanceId(name)]
+        self.perform(
+            InstanceId(name),
+            document.join(leaves, ticket=0, now=self.now),
+        )
+
+    def run_for(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.02
+            while self._events and self._events[0].at <= self.now:
+                heapq.heappop(self._events).action()
+            for name, document in self.documents.items():
+                if name not in self.down:
+                    self.perform(name, document.tick(now=self.now))
+
+    def perform(self, name: InstanceId, effects: tuple[Any, ...]) -> None:
+        """Do what a document asks for."""
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._send(name, effect)
+                case Persist():
+                    self._save(name, effect.state)
+                case Done():
+                    self.outcomes[effect.ticket] = effect.outcome
+                case NewInForce():
+                    self._spread(name, effect.news)
+
+    def _spread(self, name: InstanceId, news: Chosen) -> None:
+        for other in self.documents:
+            self._send(name, Send(other, news))
+
+    def _after(self, seconds: float, action: Callable[[], None]) -> None:
+        event = _Event(self.now + seconds, next(self._numbers), action)
+        heapq.heappush(self._events, event)
+
+    def _send(self, name: InstanceId, send: Send) -> None:
+        if self.chance.random() < self.loss or send.to == name:
+            return
+        self._after(
+            self.chance.uniform(0.001, 0.05),
+            lambda: self._deliver(name, send),
+        )
+
+    def _deliver(self, sender: InstanceId, send: Send) -> None:
+        is_cut = frozenset((sender, send.to)) in self.cut
+        if is_cut or send.to in self.down or send.to not in self.documents:
+            return
+        document = self.documents[send.to]
+        if isinstance(send.message, Chosen):
+            self.perform(send.to, document.learn(send.message))
+            return
+        self.perform(
+            send.to,
+            document.receive(sender, send.message, now=self.now),
+        )
+
+    def _save(self, name: InstanceId, state: ReplicaState) -> None:
+        life = self.lives[name]
+
+        def synced() -> None:
+            if self.lives[name] == life:
+                self.disks[name] = state
+                document = self.documents[name]
+                self.perform(name, document.persisted(now=self.now))
+
+        self._after(self.chance.uniform(0.005, 0.02), synced)
