--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,263 @@
+"""Who dispatches, and how entries keep their jobs with the dispatcher."""
+
+from typing import Any
+
+from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.fleet import (
+    Answered,
+    Completed,
+    ControlBeat,
+    Dropped,
+    Election,
+    Ended,
+    EntryBeat,
+    EntryDesk,
+    JobDesk,
+    LeaderBeat,
+    MayHaveRun,
+    NotRun,
+    Refused,
+    Submit,
+    Taken,
+    Unknown,
+)
+from cuminstack.pool import (
+    Dispatcher,
+    JobRequest,
+    JobState,
+    QueueTerms,
+    RefusalReason,
+    Room,
+    Step,
+    find_order,
+)
+
+ONE, TWO, ENTRY = (InstanceId(name) for name in ('c1', 'c2', 'entry'))
+KEY = JobKey('job')
+TERMS = QueueTerms('queue', 'desk')
+REQUEST = JobRequest(KEY, 'queue', '', (Step(1, Room(1000, 64)),))
+
+
+def _beat(term: int, *, leads: bool, weight: int = 1) -> ControlBeat:
+    return ControlBeat(term, leads, weight, 0, (ONE, TWO))
+
+
+def _only(effects: tuple[Any, ...]) -> Any:
+    assert len(effects) == 1
+    return effects[0]
+
+
+def _elect(own: InstanceId, seconds: float = 1) -> Election:
+    election = Election(own, now=0)
+    for moment in range(int(seconds * 50)):
+        election.tick(weight=1, now=moment / 50)
+    return election
+
+
+class TestElection:
+    """Which control instance leads."""
+
+    def test_lone_instance_leads(self) -> None:
+        assert _elect(ONE).term == 1
+
+    def test_first_by_name_leads(self) -> None:
+        election = Election(TWO, now=0)
+        for moment in range(100):
+            election.hear(ONE, _beat(0, leads=False), now=moment / 50)
+            election.tick(weight=1, now=moment / 50)
+        assert not election.term
+
+    def test_restarted_instance_keeps_the_leader(self) -> None:
+        election = Election(ONE, now=0)
+        for moment in range(100):
+            election.hear(TWO, _beat(7, leads=True), now=moment / 50)
+            election.tick(weight=1, now=moment / 50)
+        assert not election.term
+
+    def test_silent_leader_is_succeeded(self) -> None:
+        election = Election(ONE, now=0)
+        election.hear(TWO, _beat(7, leads=True), now=1)
+        for moment in range(100, 150):
+            election.tick(weight=1, now=moment / 50)
+        assert election.term == 8
+
+    def test_leaving_leader_is_not_waited_for(self) -> None:
+        election = Election(ONE, now=0)
+        left = ControlBeat(
+            7, leads=False, weight=1, revision=0, controls=(), leaves=True
+        )
+        for moment in range(100, 110):
+            election.hear(TWO, left, now=moment / 50)
+            election.tick(weight=1, now=moment / 50)
+        assert election.term == 8
+
+    def test_lighter_leader_resigns(self) -> None:
+        election = _elect(ONE)
+        election.hear(TWO, _beat(1, leads=True, weight=9), now=1)
+        election.tick(weight=3, now=1)
+        assert not election.term
+
+    def test_heavier_leader_rises_above(self) -> None:
+        election = _elect(ONE)
+        election.hear(TWO, _beat(5, leads=True, weight=1), now=1)
+        election.tick(weight=3, now=1)
+        assert election.term == 6
+
+    def test_entries_vouch_for_a_leader_out_of_sight(self) -> None:
+        election = Election(ONE, now=0)
+        for moment in range(100):
+            election.hear_entry(ENTRY, TWO, now=moment / 50)
+            election.tick(weight=1, now=moment / 50)
+        assert not election.term
+
+    def test_lost_terms_are_risen_above(self) -> None:
+        election = _elect(ONE)
+        election.fenced(now=2)
+        election.fenced(now=2.5)
+        assert election.term == 1
+        election.fenced(now=3)
+        assert election.term > 1
+
+
+class TestEntryDesk:
+    """The entry's side of a job."""
+
+    def _desk(self) -> EntryDesk:
+        desk = EntryDesk(now=0)
+        desk.hear_leader(ONE, LeaderBeat(1, 5, (), {}), now=0)
+        return desk
+
+    def _submit(self, desk: EntryDesk) -> tuple[Send | Answered, ...]:
+        return desk.submit(REQUEST, TERMS, deadline=2, now=0)
+
+    def test_job_goes_to_the_dispatcher(self) -> None:
+        effect = _only(self._submit(self._desk()))
+        assert isinstance(effect, Send)
+        assert effect.to == ONE
+        assert isinstance(effect.message, Submit)
+        assert not effect.message.resumed
+
+    def test_unanswered_submission_is_sent_again(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        assert desk.tick(now=0.2)
+        desk.receive(ONE, Taken(KEY), now=0.2)
+        assert not desk.tick(now=0.3)
+
+    def test_answer(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        effects = desk.receive(ONE, Ended(KEY, JobState.completed), now=1)
+        assert effects == (Answered(KEY, Completed(JobState.completed)),)
+        assert not desk.waiting
+
+    def test_refusal_is_not_run(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        refused = Refused(KEY, RefusalReason.overload, 1)
+        effect = _only(desk.receive(ONE, refused, now=0.1))
+        assert isinstance(effect, Answered)
+        assert isinstance(effect.answer, NotRun)
+
+    def test_refusal_after_a_change_may_have_run(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        desk.hear_leader(TWO, LeaderBeat(2, 5, (), {}), now=0.5)
+        refused = Refused(KEY, RefusalReason.overload, 1)
+        effect = _only(desk.receive(TWO, refused, now=0.6))
+        assert isinstance(effect, Answered)
+        assert isinstance(effect.answer, MayHaveRun)
+
+    def test_forgotten_job_is_marked_as_resumed(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        desk.hear_leader(ONE, LeaderBeat(3, 6, (), {}), now=0.1)
+        effect = _only(desk.receive(ONE, Unknown((KEY,)), now=0.2))
+        assert isinstance(effect, Send)
+        assert effect.message.resumed
+        assert effect.message.held > 1
+
+    def test_live_leader_is_kept_until_it_resigns(self) -> None:
+        desk = self._desk()
+        desk.hear_leader(TWO, LeaderBeat(9, 5, (), {}), now=0.1)
+        assert desk.leader == ONE
+        desk.hear_leader(ONE, LeaderBeat(0, 6, (), {}), now=0.2)
+        desk.hear_leader(TWO, LeaderBeat(9, 6, (), {}), now=0.25)
+        assert desk.leader == TWO
+
+    def test_deadline_of_what_was_handed_over(self) -> None:
+        desk = self._desk()
+        self._submit(desk)
+        answers = [
+            effect
+            for effect in desk.tick(now=2)
+            if isinstance(effect, Answered)
+        ]
+        assert isinstance(answers[0].answer, MayHaveRun)
+
+    def test_without_dispatcher_jobs_are_refused(self) -> None:
+        desk = EntryDesk(now=0)
+        assert not desk.submit(REQUEST, TERMS, deadline=9, now=0.5)
+        late = _only(desk.tick(now=1.5))
+        other = JobRequest(JobKey('other'), 'queue', '', REQUEST.steps)
+        at_once = _only(desk.submit(other, TERMS, deadline=9, now=1.5))
+        for effect in (late, at_once):
+            assert isinstance(effect, Answered)
+            assert isinstance(effect.answer, NotRun)
+
+
+class TestJobDesk:
+    """The dispatcher's side of a job."""
+
+    def _desk(self) -> JobDesk:
+        order = find_order('useful-first')
+        return JobDesk(Dispatcher(term=1, instance=1, order=order))
+
+    def _submit(self, desk: JobDesk, *, resumed: bool) -> tuple[object, ...]:
+        submit = Submit(
+            REQUEST,
+            TERMS,
+            waited=0,
+            remaining=2,
+            stamp=10,
+            resumed=resumed,
+        )
+        return desk.submit(ENTRY, submit, is_warm=True, now=10)
+
+    def test_no_endpoint_is_refused_at_once(self) -> None:
+        (send, _) = self._submit(self._desk(), resumed=False)
+        assert isinstance(send, Send)
+        assert isinstance(send.message, Refused)
+
+    def test_resumed_job_is_never_refused(self) -> None:
+        desk = self._desk()
+        send = _only(self._submit(desk, resumed=True))
+        assert send == Send(ENTRY, Taken(KEY))
+
+    def test_unlisted_job_is_dropped(self) -> None:
+        desk = self._desk()
+        self._submit(desk, resumed=True)
+        desk.hear(ENTRY, EntryBeat(10.1, 1, ONE, ()), now=10.1)
+        assert not desk.dispatcher.knows(KEY)
+
+    def test_unknown_job_is_asked_for(self) -> None:
+        desk = self._desk()
+        beat = EntryBeat(10.1, 1, ONE, (KEY,))
+        assert desk.hear(ENTRY, beat, now=10.1) == (
+            Send(ENTRY, Unknown((KEY,))),
+        )
+
+    def test_held_up_heartbeat_renews_nothing(self) -> None:
+        desk = self._desk()
+        self._submit(desk, resumed=True)
+        desk.hear(ENTRY, EntryBeat(10.1, 1, ONE, (KEY,)), now=14)
+        desk.tick(now=14)
+        assert not desk.dispatcher.knows(KEY)
+
+    def test_other_entry_keeps_the_job(self) -> None:
+        desk = self._desk()
+        self._submit(desk, resumed=True)
+        submit = Submit(REQUEST, TERMS, 0, 2, stamp=10, resumed=True)
+        desk.submit(TWO, submit, is_warm=True, now=10)
+        desk.drop(ENTRY, Dropped(KEY), now=10)
+        assert desk.dispatcher.knows(KEY)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,203 @@
+"""What the platform speaks, decoded into our types."""
+
+import json
+from types import MappingProxyType
+from typing import Any
+
+import pytest
+
+from cuminstack.core import JobKey
+from cuminstack.platform._desired_state import (
+    InvalidState,
+    canonical_body,
+    decode_state,
+)
+from cuminstack.platform._jobs import (
+    BadJob,
+    UnsupportedJob,
+    decode_job,
+    decode_run,
+    task_name,
+)
+from cuminstack.platform._settings import BadSettings, decode_settings
+from cuminstack.platform._workers import (
+    BadReport,
+    decode_heartbeat,
+    decode_refusal,
+    decode_view,
+)
+from cuminstack.pool import EndKind, Refusal, Room
+
+ROUTE = MappingProxyType(
+    {
+        'name': 'r',
+        'host': 'h.example',
+        'pathPrefix': '/q/',
+        'timeoutMs': 1500,
+        'sloMs': 60,
+        'service': 's',
+        'attempts': 3,
+        'stretch': 1.6,
+    }
+)
+STATE = MappingProxyType(
+    {'version': 7, 'routes': [ROUTE], 'services': [{'name': 's'}]}
+)
+BEAT = MappingProxyType(
+    {
+        'service': 's',
+        'address': '10.0.0.9:80',
+        'zone': 'z',
+        'state': 'ready',
+        'sequence': 4,
+        'freeCapacity': {'cpu': 16000, 'memMb': 32768},
+        'labels': ['a', 'r1-3'],
+        'born': 1700000000000,
+    }
+)
+KEY = JobKey('5c0e7a21d94b36f8')
+
+
+def _bytes(plain: Any) -> bytes:
+    return json.dumps(plain, default=dict).encode()
+
+
+class TestDesiredState:
+    """The operator's document."""
+
+    def test_longest_prefix_wins(self) -> None:
+        longer = {**ROUTE, 'name': 'l', 'pathPrefix': '/q/x/'}
+        state = decode_state(_bytes({**STATE, 'routes': [ROUTE, longer]}))
+        queue = state.find_queue('h.example', '/q/x/5c')
+        assert queue is not None
+        assert queue.terms.name == 'l'
+        assert state.find_queue('other.example', '/q/') is None
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'routes': [{**ROUTE, 'service': 'unknown'}]},
+            {'routes': [ROUTE, {**ROUTE, 'name': 'twin'}]},
+            {'routes': [{**ROUTE, 'timeoutMs': 0}]},
+            {'version': '7'},
+            {'version': 0},
+            {'routes': None},
+        ],
+    )
+    def test_invalid(self, change: dict[str, Any]) -> None:
+        with pytest.raises(InvalidState):
+            decode_state(_bytes({**STATE, **change}))
+
+    def test_cut_short(self) -> None:
+        with pytest.raises(InvalidState):
+            canonical_body(_bytes(STATE)[:-5])
+
+    def test_order_of_keys_does_not_matter(self) -> None:
+        turned = dict(reversed(tuple(STATE.items())))
+        assert canonical_body(_bytes(turned)) == canonical_body(_bytes(STATE))
+
+
+class TestJobs:
+    """Callers' jobs."""
+
+    def test_step(self) -> None:
+        step = {'count': 2, 'cpu': 500, 'memMb': 64, 'estRuntimeMs': 900}
+        body = _bytes({'spec': 'x', 'steps': [step], 'bestEffort': True})
+        job = decode_job(body, key=KEY, queue='r')
+        assert job.steps[0].needs == Room(500, 64)
+        assert job.steps[0].estimate == pytest.approx(0.9)
+
+    @pytest.mark.parametrize(
+        'body',
+        [b'', b'{}', b'{"steps":[]}', b'{"steps":[{"count":0}]}'],
+    )
+    def test_unreadable(self, body: bytes) -> None:
+        with pytest.raises(BadJob):
+            decode_job(body, key=KEY, queue='r')
+
+    def test_step_after_itself(self) -> None:
+        body = _bytes({'steps': [{'after': [0]}], 'bestEffort': True})
+        with pytest.raises(BadJob):
+            decode_job(body, key=KEY, queue='r')
+
+    @pytest.mark.parametrize('extra', [{'longRunning': True}, {'times': 2}])
+    def test_unsupported(self, extra: dict[str, Any]) -> None:
+        body = _bytes({'steps': [{}], 'bestEffort': True, **extra})
+        with pytest.raises(UnsupportedJob):
+            decode_job(body, key=KEY, queue='r')
+
+    def test_task_names(self) -> None:
+        run = decode_run(f'{KEY}.0.1.17', 2)
+        assert task_name(run.task) == f'{KEY}.0.1.17'
+
+
+class TestWorkers:
+    """Heartbeats and lists."""
+
+    def test_heartbeat(self) -> None:
+        report = decode_heartbeat('i-1', _bytes(BEAT))
+        assert report.room == Room(16000, 32768)
+        assert report.lifetime == 1700000000000
+        assert not report.draining
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': 'odd'},
+            {'address': 'nowhere'},
+            {'service': 5},
+            {'sequence': 'x'},
+            {'freeCapacity': None},
+        ],
+    )
+    def test_heartbeat_of_another_writer(self, change: dict[str, Any]) -> None:
+        with pytest.raises(BadReport):
+            decode_heartbeat('i-1', _bytes({**BEAT, **change}))
+
+    def test_bytes_that_are_no_heartbeat(self) -> None:
+        with pytest.raises(BadReport):
+            decode_heartbeat('i-1', b'\xff\x00')
+
+    def test_rows_that_cannot_be_read_are_left_out(self) -> None:
+        view = decode_view(
+            _bytes(
+                {
+                    'clockMs': 5,
+                    'running': [[f'{KEY}.0.0.0', 1, '', 41, 7], ['x'], 5],
+                    'finished': [
+                        [58, f'{KEY}.0.0.1', 1, 'done', ''],
+                        [59, f'{KEY}.0.0.2', 1, 'odd', ''],
+                    ],
+                },
+            ),
+        )
+        assert [row.percent for row in view.running] == [41]
+        assert [end.kind for end in view.ends] == [EndKind.done]
+
+    def test_refusals(self) -> None:
+        body = b'{"clockMs":1,"reason":"fence"}'
+        assert decode_refusal(body) is Refusal.fenced
+        assert decode_refusal(b'nonsense') is Refusal.invalid
+
+
+class TestSettings:
+    """The settings file."""
+
+    def test_seeds_become_peers(self) -> None:
+        settings = decode_settings(
+            {
+                'ip': '10.1.0.13',
+                'zone': 'z',
+                'ephemeralPorts': [7720, 7735],
+                'seeds': ['10.1.0.16:8166'],
+                'listenAddrs': {'control': '10.1.0.13:8166'},
+                'unknown': 'ignored',
+            },
+        )
+        assert settings.role.own == '10.1.0.13:7720'
+        assert settings.role.controls == ('10.1.0.16:7720',)
+        assert settings.callers is None
+
+    def test_missing(self) -> None:
+        with pytest.raises(BadSettings):
+            decode_settings({'ip': '10.1.0.13'})
