--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-CODE := src tests bench spec
+CODE := src tests bench spec deploy
 export PYTHONPATH := $(CURDIR)/src
 export PYTHONHASHSEED := 0
 
