--- a/src/cuminstack/platform/_worker_client.py
+++ b/src/cuminstack/platform/_worker_client.py
@@ -33,7 +33,6 @@
 #: Channels to one worker at most; it takes 64 from all of us.
 _CHANNELS: Final = 32
 _KEEP_SECONDS: Final = 30.0
-_MS: Final = 1000
 
 _UNHEALTHY: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
--- a/src/cuminstack/pool/_records.py
+++ b/src/cuminstack/pool/_records.py
@@ -299,7 +299,6 @@
 class RefusalReason(enum.Enum):
     """Why a job was refused; none of its tasks has run."""
 
-    no_queue = 'no_queue'
     no_room = 'no_room'
     overload = 'overload'
     not_serving = 'not_serving'
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -30,7 +30,6 @@
 _BEAT_SECONDS: Final = 0.1
 #: Every so many of them also go to the other control instances.
 _BEATS_TO_OTHERS: Final = 5
-_MS: Final = 1000
 
 NewValue = Callable[[Value], None]
 
