Count what runs at an endpoint that deregisters until its lease has passed

Change: it gets no more starts, its orders are voided, and its runs count until it lists their ends or its lease has passed.

--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
@@ -124,8 +125,20 @@
             return tuple(self._restarted(known, report.lifetime, now))
         return tuple(self._watch.tend(known, now=now))
 
+    def leave(self, endpoint: EndpointId, *, now: float) -> Effects:
+        """Take that an endpoint has deregistered.
+
+        What runs there may go on for a while, so it counts until the
+        endpoint lists its end, or its lease has passed.
+        """
+        left = self._endpoints.get(endpoint)
+        if left is None or not left.runs:
+            return self.forget(endpoint, now=now)
+        left.report = replace(left.report, draining=True)
+        return tuple(self._watch.void(left, 'left', now=now))
+
     def forget(self, endpoint: EndpointId, *, now: float) -> Effects:
-        """Take that an endpoint has left or was replaced."""
+        """Take that nothing of a lifetime of an endpoint runs any more."""
         left = self._endpoints.pop(endpoint, None)
         self._heard_at.pop(endpoint, None)
         if left is None:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -329,7 +329,7 @@
     def _forget(self, endpoint: EndpointId) -> None:
         self._reports.pop(endpoint, None)
         if self._lead is not None:
-            self._lead.forget(endpoint, now=steady_now())
+            self._lead.leave(endpoint, now=steady_now())
 
     def _spread(self, chosen: Chosen) -> None:
         """Tell all control instances, and the entries if this one leads."""
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -93,9 +93,9 @@
         """Take a heartbeat of an endpoint."""
         self._perform(self._desk.observe(report, now=now))
 
-    def forget(self, endpoint: EndpointId, *, now: float) -> None:
-        """Take that an endpoint has left."""
-        self._convey(self._dispatcher.forget(endpoint, now=now))
+    def leave(self, endpoint: EndpointId, *, now: float) -> None:
+        """Take that an endpoint has deregistered."""
+        self._convey(self._dispatcher.leave(endpoint, now=now))
 
     def submit(
         self,
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cuminstack.core import JobKey
+from cuminstack.core import EndpointId, JobKey
 from cuminstack.pool import JobState, order_names
 from fakes_pool import ENTRY, JobPlan, PoolWorld
 
@@ -141,6 +141,24 @@
         assert world.results['a'].state is JobState.completed
 
 
+class TestLeavingEndpoints:
+    """Endpoints that deregister."""
+
+    def test_tasks_running_there_are_not_doubled(self) -> None:
+        world = PoolWorld(workers=3)
+        world.submit(JobPlan('a', 2, 0.3))
+        world.run_for(0.1)
+        name = world.spans[0].worker
+        effects = world.dispatcher.leave(EndpointId(name), now=world.now)
+        world.perform(effects)
+        world.run_for(0.1)
+        # It goes on for a while, as it may after its last word.
+        world.workers[name].faults.dark = True
+        world.run_for(3)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
+
 class TestTakeover:
     """Another dispatcher takes over."""
 
