--- a/src/cuminstack/logs/_output.py
+++ b/src/cuminstack/logs/_output.py
@@ -1,28 +1,65 @@
 """Where the lines go."""
 
 import sys
-from collections.abc import Mapping
-from typing import Any, TextIO
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Protocol
 
 import eliot
 
+from cuminstack.logs._budget import LineBudget
 from cuminstack.logs._gate import gate
 from cuminstack.logs._lines import format_line
-from cuminstack.settings import LogSettings
+from cuminstack.logs._pipe import PipeStream
+from cuminstack.settings import LogLevel, LogSettings
+
+#: Reports lines that were left out; never left out itself.
+_DROPPED: Final = 'log.dropped'
+
+
+class LineStream(Protocol):
+    """What lines are written to: an open text file, or a pipe."""
+
+    def write(self, line: str, /) -> object:
+        """Write a line, or raise `OSError` or `ValueError`."""
+
+    def flush(self) -> None:
+        """Hand on what was written."""
+
+    def close(self) -> None:
+        """Write no more."""
 
 
 class LogOutput:
     """An eliot destination that appends lines to a stream.
 
-    A line that can't be written is counted and dropped: a full disk must
-    not stop an instance.
+    A line that can't be written is counted and dropped: a full disk or a
+    slow reader must not stop an instance.  The next line that can be
+    written is followed by a report of how many were dropped.
     """
 
-    def __init__(self, stream: TextIO, *, owned: bool = False) -> None:
-        """Take the stream, and close it at the end if it is owned."""
+    def __init__(
+        self,
+        stream: LineStream,
+        *,
+        owned: bool = False,
+        budget: LineBudget | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Take the stream.
+
+        Args:
+            stream: Where lines go.
+            owned: Whether to close it at the end.
+            budget: Bounds the lines of each kind, if there is one.
+            clock: Gives the present time for the budget, in seconds.
+        """
         self._stream = stream
         self._owned = owned
+        self._budget = budget
+        self._clock = clock
         self._dropped = 0
+        self._unreported = 0
 
     @property
     def dropped(self) -> int:
@@ -41,11 +78,40 @@
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write the line of a message."""
+        if self._budget is None:
+            self._write(message)
+            return
+        now = self._clock()
+        for kind, count in self._budget.take_dropped(now=now).items():
+            self._report(message, cause='budget', kind=kind, count=count)
+        if self._budget.spend(message.get('message_type', ''), now=now):
+            self._write(message)
+
+    def _write(self, message: Mapping[str, Any]) -> None:
+        if not self._put(message):
+            self._dropped += 1
+            self._unreported += 1
+        elif self._unreported:
+            count = self._unreported
+            if self._report(message, cause='stream', count=count):
+                self._unreported = 0
+
+    def _report(self, message: Mapping[str, Any], **fields: Any) -> bool:
+        """Say what was left out, as of the time of a message."""
+        report = {
+            'timestamp': message.get('timestamp', 0),
+            'message_type': _DROPPED,
+            'level': LogLevel.warning.value,
+        }
+        return self._put({**report, **fields})
+
+    def _put(self, message: Mapping[str, Any]) -> bool:
         try:
             self._stream.write(f'{format_line(message)}\n')
             self._stream.flush()
         except (OSError, ValueError):
-            self._dropped += 1
+            return False
+        return True
 
 
 def configure_logs(settings: LogSettings) -> LogOutput:
@@ -65,3 +131,11 @@
     gate.raise_to(settings.level)
     output.open()
     return output
+
+
+def log_to_standard_output() -> LogOutput:
+    """Begin to write events to standard output, bounded and never waiting."""
+    stream = PipeStream(sys.stdout.fileno())
+    output = LogOutput(stream, budget=LineBudget())
+    output.open()
+    return output
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from cuminstack.logs import LogOutput, log_event
+from cuminstack.logs import log_event, log_to_standard_output
 from cuminstack.platform._front import Front
 from cuminstack.platform._operators import ControlFront
 from cuminstack.platform._settings import (
@@ -134,6 +134,5 @@
     except BadSettings as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(_EXIT_BAD_SETTINGS)
-    output = LogOutput(sys.stdout)
-    output.open()
+    log_to_standard_output()
     asyncio.run(_serve(name, settings))
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import os
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -12,7 +13,9 @@
 from cuminstack.core import JobId, JobKey, MemberName, TaskId
 from cuminstack.logs import (
     MAX_VALUE_CHARACTERS,
+    LineBudget,
     LogOutput,
+    PipeStream,
     configure_logs,
     format_line,
     log_event,
@@ -108,3 +111,79 @@
         output = LogOutput(stream)
         output({'message_type': 'part.lost'})
         assert output.dropped == 1
+
+
+class TestBudget:
+    """A kind of event that comes in a storm doesn't flood the log."""
+
+    def test_storm_of_one_kind(self) -> None:
+        budget = LineBudget(per_second=10, burst=20)
+        written = sum(
+            budget.spend('job.refused', now=tenth / 10)
+            for tenth in range(100)
+            for _ in range(50)
+        )
+        # The burst, and what was filled up in the 9.9 seconds after it.
+        assert written == 20 + 99
+        assert budget.spend('dispatcher.leads', now=9.9)
+
+    def test_dropped_are_reported_once_a_second(self) -> None:
+        budget = LineBudget(per_second=1, burst=1)
+        for _ in range(4):
+            budget.spend('job.refused', now=5)
+        assert budget.take_dropped(now=5) == {'job.refused': 3}
+        budget.spend('job.refused', now=5.5)
+        assert not budget.take_dropped(now=5.5)
+        assert budget.take_dropped(now=6) == {'job.refused': 1}
+
+    def test_report_line(self) -> None:
+        stream = io.StringIO()
+        times = iter((1, 1, 3))
+        budget = LineBudget(per_second=0.1, burst=1)
+        output = LogOutput(stream, budget=budget, clock=lambda: next(times))
+        for event in ('part.often', 'part.often', 'part.other'):
+            output({'timestamp': 0, 'message_type': event})
+        lines = [fields_of(line) for line in stream.getvalue().splitlines()]
+        assert [line['event'] for line in lines] == [
+            'part.often',
+            'log.dropped',
+            'part.other',
+        ]
+        assert lines[1]['kind'] == 'part.often'
+        assert lines[1]['count'] == '1'
+
+
+class TestFullPipe:
+    """A reader that is behind costs lines, never a wait."""
+
+    def test_lines_are_dropped_and_counted(self) -> None:
+        reader, writer = os.pipe()
+        output = LogOutput(PipeStream(writer), owned=True)
+        long = 'x' * MAX_VALUE_CHARACTERS
+        for number in range(200):
+            output({'timestamp': 0, 'number': number, 'filler': long})
+        dropped = output.dropped
+        assert dropped
+        got = _drain(reader)
+        output({'timestamp': 0, 'message_type': 'part.later'})
+        got += _drain(reader)
+        os.close(writer)
+        os.close(reader)
+        lines = [fields_of(line) for line in got.decode().splitlines()]
+        events = [line['event'] for line in lines]
+        assert events[-2:] == ['part.later', 'log.dropped']
+        assert lines[-1]['count'] == str(dropped)
+        # Every line is whole, and those written are the first.
+        numbers = [line['number'] for line in lines if 'number' in line]
+        assert numbers == [str(number) for number in range(200 - dropped)]
+
+
+def _drain(reader: int) -> bytes:
+    """Read all that a pipe holds now."""
+    os.set_blocking(reader, False)
+    parts: list[bytes] = []
+    while True:
+        try:
+            parts.append(os.read(reader, MAX_VALUE_CHARACTERS))
+        except BlockingIOError:
+            return b''.join(parts)
