Serve metrics of the platform's programs, and check their settings

Change: each program serves a page of metrics at the port that the deploy file names: jobs by queue and outcome, response times (hdrhistogram), events by name, term, endpoints and waiting jobs; prometheus-client writes it.

Seen: tests/test_metrics.py reads the page with the library's parser; tests/test_platform.py holds deploy file and program to the same address.

--- a/src/cuminstack/logs/_output.py
+++ b/src/cuminstack/logs/_output.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Final, Protocol
 
@@ -60,6 +61,12 @@
         self._clock = clock
         self._dropped = 0
         self._unreported = 0
+        self._events: Counter[str] = Counter()
+
+    @property
+    def events(self) -> Mapping[str, int]:
+        """Events by name, those included that were not written."""
+        return self._events
 
     @property
     def dropped(self) -> int:
@@ -78,13 +85,15 @@
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write the line of a message."""
+        kind = message.get('message_type', '')
+        self._events[kind] += 1
         if self._budget is None:
             self._write(message)
             return
         now = self._clock()
-        for kind, count in self._budget.take_dropped(now=now).items():
-            self._report(message, cause='budget', kind=kind, count=count)
-        if self._budget.spend(message.get('message_type', ''), now=now):
+        for over, count in self._budget.take_dropped(now=now).items():
+            self._report(message, cause='budget', kind=over, count=count)
+        if self._budget.spend(kind, now=now):
             self._write(message)
 
     def _write(self, message: Mapping[str, Any]) -> None:
--- a/src/cuminstack/metrics/__init__.py
+++ b/src/cuminstack/metrics/__init__.py
@@ -1,5 +1,6 @@
 """Histograms for each member and service, and counts of messages."""
 
+from cuminstack.metrics._exposition import CONTENT_TYPE, Exposition
 from cuminstack.metrics._histograms import (
     LONGEST_SECONDS,
     RATIO_SCALE,
@@ -26,10 +27,12 @@
 )
 
 __all__ = (
+    'CONTENT_TYPE',
     'LONGEST_SECONDS',
     'RATIO_SCALE',
     'BadHistogram',
     'Direction',
+    'Exposition',
     'HistogramSnapshot',
     'Measure',
     'MessageCount',
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -16,6 +16,7 @@
     NotRun,
 )
 from cuminstack.logs import log_event
+from cuminstack.metrics import Exposition
 from cuminstack.platform._desired_state import (
     NO_STATE,
     InvalidState,
@@ -28,8 +29,9 @@
     decode_job,
     is_job_key,
 )
+from cuminstack.platform._metrics import outcome_word
 from cuminstack.pool import RefusalReason
-from cuminstack.roles import EntryRole
+from cuminstack.roles import EntryRole, steady_now
 from cuminstack.settings import LogLevel
 
 #: How long the caller waits, in milliseconds.
@@ -44,7 +46,9 @@
 class Front:
     """Answers callers of an entry."""
 
-    def __init__(self) -> None:
+    def __init__(self, exposition: Exposition) -> None:
+        """Take where the answers of jobs are counted."""
+        self._exposition = exposition
         self._role: EntryRole | None = None
         self._state = NO_STATE
         self._drains = False
@@ -139,9 +143,15 @@
         except UnsupportedJob as error:
             log_event('job.unsupported', LogLevel.info, key=key, error=error)
             return _not_run('unsupported', _NO_STATE_SECONDS)
+        asked_at = steady_now()
         answer = await role.run_job(
             job, queue.terms, seconds=_patience(request)
         )
+        self._exposition.job_answered(
+            queue.terms.name,
+            outcome_word(answer),
+            seconds=steady_now() - asked_at,
+        )
         if not isinstance(answer, Completed):
             log_event('job.not_completed', LogLevel.info, key=key, why=answer)
         return _to_response(answer)
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -6,12 +6,21 @@
 import sys
 from contextlib import suppress
 from types import MappingProxyType
-from typing import Final
+from typing import Final, NoReturn
 
+import fire
 from aiohttp import web
+from fire.decorators import SetParseFns
 
 from cuminstack.logs import log_event, log_to_standard_output
+from cuminstack.metrics import Exposition
 from cuminstack.platform._front import Front
+from cuminstack.platform._metrics import (
+    MetricsPage,
+    show_control,
+    show_entry,
+    show_logs,
+)
 from cuminstack.platform._operators import ControlFront
 from cuminstack.platform._settings import (
     SETTINGS_VARIABLE,
@@ -21,7 +30,7 @@
 )
 from cuminstack.platform._worker_client import WorkerClient
 from cuminstack.roles import ControlRole, EntryRole
-from cuminstack.settings import Address
+from cuminstack.settings import Address, LogLevel
 
 _EXIT_BAD_SETTINGS: Final = 2
 #: The balancer asks each second, and takes an entry out after two misses.
@@ -58,13 +67,18 @@
     return runner
 
 
-async def serve_entry(settings: PlatformSettings, ended: asyncio.Event) -> None:
+async def serve_entry(
+    settings: PlatformSettings,
+    exposition: Exposition,
+    ended: asyncio.Event,
+) -> None:
     """Run an entry until it is told to end."""
     if settings.callers is None or settings.readiness is None:
         raise BadSettings('an entry needs addresses for callers')
-    front = Front()
+    front = Front(exposition)
     role = EntryRole(settings.role, new_value=front.apply)
     front.attach(role)
+    show_entry(exposition, settings.role.own, role)
     await role.start()
     runners = (
         await _listen(front.make_app(), settings.callers, cancels=True),
@@ -88,6 +102,7 @@
 
 async def serve_control(
     settings: PlatformSettings,
+    exposition: Exposition,
     ended: asyncio.Event,
 ) -> None:
     """Run a control instance until it is told to end."""
@@ -96,6 +111,7 @@
     client = WorkerClient()
     await client.open()
     role = ControlRole(settings.role, client=client)
+    show_control(exposition, settings.role.own, role)
     await role.start()
     runner = await _listen(ControlFront(role).make_app(), settings.control)
     await ended.wait()
@@ -111,28 +127,69 @@
 )
 
 
-async def _serve(name: str, settings: PlatformSettings) -> None:
+async def _serve(
+    name: str,
+    settings: PlatformSettings,
+    metrics_port: int,
+) -> None:
+    exposition = Exposition()
+    show_logs(exposition, log_to_standard_output())
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, ended.set)
     # Seeds only matter at the start; later ones are learned from the others.
     loop.add_signal_handler(signal.SIGHUP, _note_hang_up)
     log_event('instance.started', role=name, own=settings.role.own)
-    await _PROGRAMS[name](settings, ended)
+    page = await _serve_metrics(exposition, settings.host, metrics_port)
+    await _PROGRAMS[name](settings, exposition, ended)
+    if page is not None:
+        await page.cleanup()
     log_event('instance.ended', role=name, own=settings.role.own)
 
 
+async def _serve_metrics(
+    exposition: Exposition,
+    host: str,
+    port: int,
+) -> web.AppRunner | None:
+    """Serve the page of metrics; a process goes on without it."""
+    if not port:
+        return None
+    address = Address(host, port)
+    try:
+        return await _listen(MetricsPage(exposition).make_app(), address)
+    except OSError as error:
+        log_event('metrics.unavailable', LogLevel.error, error=error)
+        return None
+
+
 def _note_hang_up() -> None:
     log_event('settings.kept', cause='SIGHUP')
 
 
-def main() -> None:
-    """Run the program that the command line names."""
-    name = sys.argv[-1]
+def run(role: str, *, metrics_port: int = 0, check: bool = False) -> None:
+    """Run a program of the platform.
+
+    Args:
+        role: Which: `entry` or `control`.
+        metrics_port: Port of the page of metrics; none is served if it is 0.
+        check: Only check the settings.
+    """
+    if role not in _PROGRAMS:
+        _end_with(f'no such role: {role}')
     try:
         settings = load_settings(os.environ.get(SETTINGS_VARIABLE, ''))
     except BadSettings as error:
-        sys.stderr.write(f'{error}\n')
-        sys.exit(_EXIT_BAD_SETTINGS)
-    log_to_standard_output()
-    asyncio.run(_serve(name, settings))
+        _end_with(str(error))
+    if not check:
+        asyncio.run(_serve(role, settings, metrics_port))
+
+
+def _end_with(problem: str) -> NoReturn:
+    sys.stderr.write(f'{problem}\n')
+    sys.exit(_EXIT_BAD_SETTINGS)
+
+
+def main() -> None:
+    """Start the program that the command line names."""
+    fire.Fire(SetParseFns(str)(run), name='instance')
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -60,6 +60,7 @@
 
     Args:
         role: What the role needs of it.
+        host: Address of the machine.
         callers: Where callers connect; None for a control instance.
         readiness: Where the balancer asks whether an entry is ready.
         control: Where endpoints and operators connect; None for an entry.
@@ -67,6 +68,7 @@
     """
 
     role: RoleSettings
+    host: str
     callers: Address | None
     readiness: Address | None
     control: Address | None
@@ -108,6 +110,7 @@
     )
     return PlatformSettings(
         role=role,
+        host=found.ip,
         callers=_address(found.listen_addrs.front),
         readiness=_address(found.listen_addrs.ready),
         control=_address(found.listen_addrs.control),
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -100,6 +100,21 @@
         """Whether this instance dispatches."""
         return self._lead is not None
 
+    @property
+    def term(self) -> int:
+        """Term in which this instance dispatches; 0 if it doesn't."""
+        return 0 if self._lead is None else self._lead.term
+
+    @property
+    def endpoints(self) -> int:
+        """Number of endpoints that sent heartbeats and have not left."""
+        return len(self._reports)
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Jobs of which nothing was started, by queue."""
+        return {} if self._lead is None else self._lead.waiting
+
     async def start(self) -> None:
         """Link up with the other control instances."""
         await self._mesh.start()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,12 +1,16 @@
 """Histograms and counters."""
 
+from itertools import count
+
 import msgspec
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from cuminstack import metrics as subject
 from cuminstack.core import InstanceId, MemberName, ServiceName, ServiceRef
 from cuminstack.metrics import (
     Direction,
+    Exposition,
     HistogramSnapshot,
     Measure,
     MessageKind,
@@ -125,3 +129,55 @@
     )
     def test_part(self, wire_kind: str, kind: MessageKind) -> None:
         assert message_kind(wire_kind) is kind
+
+
+Samples = dict[tuple[str, frozenset[tuple[str, str]]], float]
+
+
+def samples_of(page: Exposition) -> Samples:
+    """Read a page as a monitor does."""
+    text = page.render().decode()
+    return {
+        (sample.name, frozenset(sample.labels.items())): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class TestExposition:
+    """The page that a monitor fetches."""
+
+    def test_jobs(self) -> None:
+        page = Exposition()
+        for milliseconds in range(1, 101):
+            page.job_answered('q', 'completed', seconds=milliseconds / 1000)
+        page.job_answered('q', 'not_run_overload', seconds=0.001)
+        found = samples_of(page)
+        completed = frozenset((('queue', 'q'), ('outcome', 'completed')))
+        refused = frozenset((('queue', 'q'), ('outcome', 'not_run_overload')))
+        assert found['cuminstack_jobs_total', completed] == 100
+        assert found['cuminstack_jobs_total', refused] == 1
+        queue = frozenset((('queue', 'q'),))
+        assert found['cuminstack_job_response_seconds_count', queue] == 101
+        median = queue | {('quantile', '0.5')}
+        assert found[
+            'cuminstack_job_response_quantile_seconds', median
+        ] == pytest.approx(0.05, rel=0.02)
+
+    def test_readings_are_taken_at_each_fetch(self) -> None:
+        page = Exposition()
+        fetches = count(1)
+        page.show_gauge(
+            'cuminstack_dispatcher_term',
+            'Term.',
+            label='instance',
+            read=lambda: {'a"\n': next(fetches)},
+        )
+        # A new registry asks once, to learn the names of the metrics.
+        before = samples_of(page)
+        after = samples_of(page)
+        name = (
+            'cuminstack_dispatcher_term',
+            frozenset((('instance', 'a"\n'),)),
+        )
+        assert after[name] == before[name] + 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,16 @@
 """What the platform speaks, decoded into our types."""
 
 import json
+import tomllib
+from pathlib import Path
 from types import MappingProxyType
 from typing import Any
 
 import pytest
 
 from cuminstack.core import JobKey
+from cuminstack.fleet import Completed, Failure, MayHaveRun, NotRun
+from cuminstack.metrics import Exposition
 from cuminstack.platform._desired_state import (
     InvalidState,
     canonical_body,
@@ -19,6 +23,7 @@
     decode_run,
     task_name,
 )
+from cuminstack.platform._metrics import MetricsPage, outcome_word
 from cuminstack.platform._settings import BadSettings, decode_settings
 from cuminstack.platform._workers import (
     BadReport,
@@ -26,7 +31,7 @@
     decode_refusal,
     decode_view,
 )
-from cuminstack.pool import EndKind, Refusal, Room
+from cuminstack.pool import EndKind, JobState, Refusal, Room
 
 ROUTE = MappingProxyType(
     {
@@ -180,6 +185,35 @@
         assert decode_refusal(b'nonsense') is Refusal.invalid
 
 
+class TestDeployFile:
+    """What the deploy file says agrees with what the programs do."""
+
+    @pytest.mark.parametrize('role', ['entry', 'control'])
+    def test_metrics_address(self, role: str) -> None:
+        path = Path(__file__).parent.parent / 'deploy' / 'system.toml'
+        roles = tomllib.loads(path.read_text(encoding='utf-8'))['roles']
+        port, _, page = roles[role]['metrics'].partition('/')
+        assert roles[role]['run'].split()[2:] == [
+            role,
+            f'--metrics-port={port}',
+        ]
+        routes = MetricsPage(Exposition()).make_app().router.resources()
+        assert [route.canonical for route in routes] == [f'/{page}']
+
+
+class TestOutcomeWords:
+    """Every answer is counted under a word of its own."""
+
+    def test_words(self) -> None:
+        answers = (
+            Completed(JobState.failed),
+            MayHaveRun(Failure.deadline),
+            NotRun('deadline', 1),
+        )
+        words = [outcome_word(answer) for answer in answers]
+        assert words == ['failed', 'deadline', 'not_run_deadline']
+
+
 class TestSettings:
     """The settings file."""
 
