Work out what follows from a job's tasks once a change, not at every event

Cause: the dispatcher searched room for each waiting job at each event, and counted states, work and the longest chain of every job anew.

Change: a job keeps what follows from its tasks' states until one changes, an endpoint its free room, the table its live jobs; jobs that no endpoint has room for are left out before they are put in order; the load is worked out only for a refusal.

The pattern (a convoy in a full pool) is held by tests/test_pool.py::TestFullPool, which failed before.

--- a/src/cuminstack/platform/_worker_client.py
+++ b/src/cuminstack/platform/_worker_client.py
@@ -1,6 +1,5 @@
 """Orders to workers over HTTP."""
 
-import json
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
@@ -34,6 +33,9 @@
 _CHANNELS: Final = 32
 _KEEP_SECONDS: Final = 30.0
 
+#: Headers that workers have no use for.
+_LEFT_OUT: Final = ('Accept', 'Accept-Encoding', 'User-Agent')
+
 _UNHEALTHY: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
 )
@@ -62,10 +64,14 @@
                 keepalive_timeout=_KEEP_SECONDS,
             ),
             timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_LEFT_OUT,
         )
         self._fresh = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_LEFT_OUT,
         )
 
     async def close(self) -> None:
@@ -130,7 +136,7 @@
         try:
             async with session.post(
                 f'http://{order.address}/api/{call}',
-                data=json.dumps(body),
+                data=msgspec.json.encode(body),
                 headers=headers,
             ) as response:
                 return _judge(response.status, await response.read())
--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -76,15 +76,18 @@
     return _refuse(job, RefusalReason.overload, wait)
 
 
-def refusal_of_waiting(
-    job: Job, load: Load, *, now: float
-) -> JobRefused | None:
-    """Give the refusal of a job that has waited too long to be of use.
+def is_hopeless(job: Job, *, now: float) -> bool:
+    """Tell whether a job has waited too long to be of use.
 
     Only a job of which nothing ever ran may be refused.
     """
-    if job.may_have_run or job.finish_after(now) <= job.submission.deadline:
-        return None
+    if job.finish_after(now) <= job.submission.deadline:
+        return False
+    return not job.may_have_run
+
+
+def refusal_of_waiting(job: Job, load: Load, *, now: float) -> JobRefused:
+    """Give the refusal of a job that has waited too long to be of use."""
     wait = load.wait_of(job, now=now)
     return _refuse(job, RefusalReason.overload, wait)
 
--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -1,6 +1,6 @@
 """Gives free room to the jobs that wait for it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId
@@ -9,7 +9,7 @@
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._orders import Order
 from cuminstack.pool._placement import find_endpoint
-from cuminstack.pool._records import Effect, Effects, StartRun
+from cuminstack.pool._records import Effect, Effects, Room, StartRun
 from cuminstack.pool._watch import LEASE_SECONDS
 
 #: Seconds of silence of an entry after which its jobs start nothing more.
@@ -17,6 +17,31 @@
 _FRESH_SECONDS: Final = 0.25
 
 
+class Starters:
+    """The endpoints of a service that may get starts.
+
+    Args:
+        endpoints: Those endpoints.
+    """
+
+    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
+        self.endpoints = endpoints
+        self.measure()
+
+    def measure(self) -> None:
+        """Take how much room is free at most, of each resource."""
+        rooms = [endpoint.free for endpoint in self.endpoints]
+        self._most = Room(
+            max((room.millicores for room in rooms), default=-1),
+            max((room.memory_mb for room in rooms), default=-1),
+            max((room.accelerators for room in rooms), default=-1),
+        )
+
+    def suits(self, job: Job) -> bool:
+        """Tell whether a task of a job may find room; if not, none does."""
+        return any(self._most.holds(needs) for needs in job.ready_needs)
+
+
 class Assigner:
     """Starts tasks of waiting jobs where there is room.
 
@@ -44,17 +69,17 @@
 
     def assign(self, *, now: float) -> Effects:
         """Give free room to the waiting jobs."""
-        waiting = [job for job in self._jobs.live if self._may_run(job, now)]
-        if not waiting:
+        jobs = [job for job in self._jobs.live if self._may_run(job, now)]
+        if not jobs:
             return ()
-        waiting.sort(key=lambda job: self._order(job, now))
-        starters: dict[str, list[Endpoint]] = {}
+        services = {job.terms.service for job in jobs}
+        starters = {name: self._starters(name, now) for name in services}
+        # What finds no room needs no place in the order.
+        served = [job for job in jobs if starters[job.terms.service].suits(job)]
+        served.sort(key=lambda job: self._order(job, now))
         effects: list[Effect] = []
-        for job in waiting:
-            service = job.terms.service
-            if service not in starters:
-                starters[service] = self._starters(service, now)
-            effects.extend(self._place(job, starters[service], now))
+        for job in served:
+            effects.extend(self._place(job, starters[job.terms.service], now))
         return tuple(effects)
 
     def pool_of(self, service: str) -> tuple[Endpoint, ...]:
@@ -70,7 +95,7 @@
 
         An entry that went silent may have gone to another dispatcher.
         """
-        if next(job.ready_tasks(), None) is None:
+        if not job.ready_tasks:
             return False
         silence = now - self._entries.get(job.submission.entry, 0)
         if silence > _FRESH_SECONDS:
@@ -81,26 +106,29 @@
             return False
         return all(endpoint.has_joined for endpoint in self._endpoints.values())
 
-    def _starters(self, service: str, now: float) -> list[Endpoint]:
+    def _starters(self, service: str, now: float) -> Starters:
         """List the endpoints that may get starts.
 
         Those put aside are among them only if no others are left.
         """
         takers = [each for each in self.pool_of(service) if each.takes_starts]
         sound = [each for each in takers if not each.health.is_aside(now=now)]
-        return sound or takers
+        return Starters(sound or takers)
 
     def _place(
         self,
         job: Job,
-        endpoints: list[Endpoint],
+        starters: Starters,
         now: float,
     ) -> Iterator[Effect]:
-        for task in tuple(job.ready_tasks()):
-            endpoint = find_endpoint(endpoints, job, task, now=now)
+        if not starters.suits(job):
+            return
+        for task in job.ready_tasks:
+            endpoint = find_endpoint(starters.endpoints, job, task, now=now)
             if endpoint is None:
                 return
             yield self._start(endpoint, job, task, now)
+            starters.measure()
 
     def _start(
         self,
@@ -109,8 +137,7 @@
         task: Task,
         now: float,
     ) -> StartRun:
-        run = self._jobs.next_run(task)
-        task.endpoint = endpoint.report.endpoint
+        run = job.begin(task, endpoint.report.endpoint)
         endpoint.add(Run(run, job.steps[task.key.step].needs, sent_at=now))
         expiry = endpoint.life.clock.expiry_after(LEASE_SECONDS, now=now)
         endpoint.life.longest_expiry = max(endpoint.life.longest_expiry, expiry)
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -6,7 +6,12 @@
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
-from cuminstack.pool._admission import Load, refusal_of, refusal_of_waiting
+from cuminstack.pool._admission import (
+    Load,
+    is_hopeless,
+    refusal_of,
+    refusal_of_waiting,
+)
 from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._job_table import JobTable
@@ -297,8 +302,8 @@
 
     def _refuse_hopeless(self, now: float) -> Iterator[Effect]:
         for job in self._jobs.live:
-            refusal = refusal_of_waiting(job, self._load_of(job), now=now)
-            if refusal is not None:
+            if is_hopeless(job, now=now):
+                refusal = refusal_of_waiting(job, self._load_of(job), now=now)
                 self._jobs.abandon(job, now=now)
                 self._jobs.settle(job)
                 yield refusal
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -75,7 +75,8 @@
     """
 
     def __init__(self, report: EndpointReport, *, token: int) -> None:
-        self.report = report
+        self._report = report
+        self._free: Room | None = None
         self.life = Life(report.lifetime)
         self.phase = Phase.joining
         self.has_joined = False
@@ -86,12 +87,24 @@
         self.hold: Hold | None = None
         self.hold_sent_at: float = 0
         self.silences = 0
-        self.used = NO_ROOM
+        self._used = NO_ROOM
+
+    @property
+    def report(self) -> EndpointReport:
+        """Its newest heartbeat."""
+        return self._report
+
+    @report.setter
+    def report(self, report: EndpointReport) -> None:
+        self._report = report
+        self._free = None
 
     @property
     def free(self) -> Room:
         """Room that nothing takes, nor may come to take."""
-        return self.report.room.minus(self.used)
+        if self._free is None:
+            self._free = self._report.room.minus(self._used)
+        return self._free
 
     @property
     def takes_starts(self) -> bool:
@@ -110,13 +123,13 @@
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
-        self.used = self.used.plus(run.needs)
+        self._use(self._used.plus(run.needs))
 
     def remove(self, key: RunKey) -> Run | None:
         """Free the room of a run."""
         run = self.runs.pop(key, None)
         if run is not None:
-            self.used = self.used.minus(run.needs)
+            self._use(self._used.minus(run.needs))
         return run
 
     def clear(self) -> tuple[Run, ...]:
@@ -124,7 +137,7 @@
         ended = tuple(self.runs.values())
         self.runs.clear()
         self.strangers.clear()
-        self.used = NO_ROOM
+        self._use(NO_ROOM)
         return ended
 
     def fence(self, token: int, phase: Phase) -> None:
@@ -136,3 +149,7 @@
     def begin_lifetime(self, lifetime: int) -> None:
         """Forget what was known of an earlier lifetime."""
         self.life = Life(lifetime)
+
+    def _use(self, room: Room) -> None:
+        self._used = room
+        self._free = None
--- a/src/cuminstack/pool/_job_table.py
+++ b/src/cuminstack/pool/_job_table.py
@@ -3,11 +3,10 @@
 from typing import Final
 
 from cuminstack.core import JobKey
-from cuminstack.pool._jobs import Job, Submission, Task, TaskState
+from cuminstack.pool._jobs import Job, Submission, Task
 from cuminstack.pool._records import (
     JobEnded,
     JobState,
-    RunKey,
     TaskKey,
 )
 from cuminstack.pool._run_times import RunTimes
@@ -31,11 +30,15 @@
         self._jobs: dict[JobKey, Job] = {}
         self._ended: dict[JobKey, tuple[float, JobState | None, int]] = {}
         self._times = RunTimes()
+        self._live: tuple[Job, ...] | None = None
 
     @property
     def live(self) -> tuple[Job, ...]:
         """Jobs that someone waits for."""
-        return tuple(job for job in self._jobs.values() if not job.abandoned)
+        if self._live is None:
+            jobs = self._jobs.values()
+            self._live = tuple(job for job in jobs if not job.abandoned)
+        return self._live
 
     def begin_term(self, term: int) -> None:
         """Number runs of new jobs above those of earlier terms."""
@@ -61,6 +64,7 @@
         if job is not None:
             job.submission = submission
             job.abandoned = False
+            self._live = None
         return job
 
     def add(self, job: Job) -> None:
@@ -68,6 +72,7 @@
         key = job.submission.request.key
         self._ended.pop(key, None)
         self._jobs[key] = job
+        self._live = None
 
     def make(self, submission: Submission) -> Job:
         """Make a job, with run numbers above those that were used."""
@@ -113,13 +118,8 @@
         for key in old:
             self._ended.pop(key)
 
-    def next_run(self, task: Task) -> RunKey:
-        """Give the run of a task that is about to be started."""
-        task.number += 1
-        task.state = TaskState.placed
-        return RunKey(task.key, task.number)
-
     def _remember(self, job: Job, state: JobState | None, now: float) -> None:
+        self._live = None
         key = job.submission.request.key
         highest = max(task.number for task in job.tasks.values())
         self._ended[key] = (now, state, highest)
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -9,6 +9,8 @@
 from cuminstack.pool._records import (
     JobRequest,
     QueueTerms,
+    Room,
+    RunKey,
     Step,
     TaskKey,
 )
@@ -76,9 +78,24 @@
     is_blind: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Standing:
+    """What follows from the states of all tasks of a job."""
+
+    ready: tuple[Task, ...]
+    ready_needs: tuple[Room, ...]
+    waiting_work: float
+    running_work: float
+    is_started: bool
+    runs_anything: bool
+
+
 class Job:
     """One job and its tasks.
 
+    Tasks change their state through their job only, as what follows from
+    their states is asked for at every event and worked out once a change.
+
     Args:
         submission: What was handed over.
         first_number: Run numbers of its tasks are above this one.
@@ -102,6 +119,8 @@
             for key in _task_keys(submission.request)
         }
         self._undone = [step.count for step in self.steps]
+        self._chain = _longest_chain(self.steps, seconds)
+        self._known: _Standing | None = None
 
     @property
     def steps(self) -> tuple[Step, ...]:
@@ -121,9 +140,7 @@
     @property
     def is_started(self) -> bool:
         """Whether a task was started."""
-        return any(
-            task.number > self._first_number for task in self.tasks.values()
-        )
+        return self._standing.is_started
 
     @property
     def may_have_run(self) -> bool:
@@ -133,15 +150,23 @@
     @property
     def runs_anything(self) -> bool:
         """Whether a task has a run that has not ended."""
-        return any(
-            task.state is TaskState.placed for task in self.tasks.values()
-        )
+        return self._standing.runs_anything
+
+    @property
+    def ready_tasks(self) -> tuple[Task, ...]:
+        """The tasks that may be started now."""
+        return self._standing.ready
+
+    @property
+    def ready_needs(self) -> tuple[Room, ...]:
+        """Room that those tasks take, each amount once."""
+        return self._standing.ready_needs
 
     @property
     def objective(self) -> float:
         """When a caller expects the answer at the latest."""
         terms = self.terms
-        chain = self._longest_chain() * terms.stretch + terms.slack
+        chain = self._chain * terms.stretch + terms.slack
         return self.submission.arrived_at + chain
 
     @property
@@ -154,23 +179,22 @@
     @property
     def waiting_work(self) -> float:
         """Work of the tasks that wait, in seconds of a millicore."""
-        return self._work_of(TaskState.waiting)
+        return self._standing.waiting_work
 
     @property
     def running_work(self) -> float:
         """Work of the tasks that run, in seconds of a millicore."""
-        return self._work_of(TaskState.placed)
+        return self._standing.running_work
+
+    @property
+    def _standing(self) -> _Standing:
+        if self._known is None:
+            self._known = self._work_out()
+        return self._known
 
     def finish_after(self, start: float) -> float:
         """Give when the job is done if it starts at a time."""
-        return start + self._longest_chain()
-
-    def ready_tasks(self) -> Iterator[Task]:
-        """List the tasks that may be started now."""
-        for task in self.tasks.values():
-            is_waiting = task.state is TaskState.waiting
-            if is_waiting and self._is_open(task.key.step):
-                yield task
+        return start + self._chain
 
     def sibling_ratio(
         self, task: TaskKey, endpoint: EndpointId
@@ -187,11 +211,50 @@
         ]
         return min(ratios, default=None)
 
+    def begin(self, task: Task, endpoint: EndpointId) -> RunKey:
+        """Give the run of a task that is about to be started."""
+        task.number += 1
+        self._place(task, endpoint)
+        return RunKey(task.key, task.number)
+
+    def claim(self, task: Task, run: RunKey, endpoint: EndpointId) -> None:
+        """Take that a task has a run of another dispatcher."""
+        task.number = max(task.number, run.number)
+        self._place(task, endpoint)
+
+    def requeue(self, task: Task) -> None:
+        """Take that a task has no run any more, and has to have one."""
+        task.state = TaskState.waiting
+        self._known = None
+
     def finish(self, task: Task) -> None:
         """Take that a task is done."""
         if task.state is not TaskState.done:
             task.state = TaskState.done
             self._undone[task.key.step] -= 1
+            self._known = None
+
+    def _place(self, task: Task, endpoint: EndpointId) -> None:
+        task.state = TaskState.placed
+        task.endpoint = endpoint
+        self._known = None
+
+    def _work_out(self) -> _Standing:
+        tasks = self.tasks.values()
+        ready = tuple(
+            task
+            for task in tasks
+            if task.state is TaskState.waiting and self._is_open(task.key.step)
+        )
+        steps = dict.fromkeys(task.key.step for task in ready)
+        return _Standing(
+            ready=ready,
+            ready_needs=tuple(self.steps[step].needs for step in steps),
+            waiting_work=self._work_of(TaskState.waiting),
+            running_work=self._work_of(TaskState.placed),
+            is_started=any(task.number > self._first_number for task in tasks),
+            runs_anything=any(task.state is TaskState.placed for task in tasks),
+        )
 
     def _work_of(self, state: TaskState) -> float:
         return sum(
@@ -205,12 +268,16 @@
         after = self.steps[step].after
         return not any(self._undone[earlier] for earlier in after)
 
-    def _longest_chain(self) -> float:
-        ends: list[float] = []
-        for step, seconds in zip(self.steps, self.seconds, strict=True):
-            before = max((ends[each] for each in step.after), default=0)
-            ends.append(before + seconds)
-        return max(ends, default=0)
+
+def _longest_chain(
+    steps: tuple[Step, ...],
+    seconds: tuple[float, ...],
+) -> float:
+    ends: list[float] = []
+    for step, each in zip(steps, seconds, strict=True):
+        before = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(before + each)
+    return max(ends, default=0)
 
 
 def _task_keys(request: JobRequest) -> Iterator[TaskKey]:
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -31,16 +31,22 @@
         now: The present time.
     """
     step = job.steps[task.key.step]
-    untried = [
-        each for each in endpoints if each.report.endpoint not in task.failed_on
-    ]
     # It waits for an endpoint that hasn't failed it, if there is any.
-    fitting = [each for each in untried or endpoints if _fits(each, task, step)]
+    wanted = _untried(endpoints, task) or endpoints
+    fitting = [each for each in wanted if _fits(each, task, step)]
     if not fitting:
         return None
     return min(fitting, key=lambda each: _rank(each, step, now))
 
 
+def _untried(endpoints: Sequence[Endpoint], task: Task) -> Sequence[Endpoint]:
+    if not task.failed_on:
+        return endpoints
+    return [
+        each for each in endpoints if each.report.endpoint not in task.failed_on
+    ]
+
+
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
     if not endpoint.free.holds(step.needs):
         return False
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -144,7 +144,7 @@
         task = self._jobs.find_task(end.run.task)
         if run is None or job is None or task is None:
             return
-        task.state = TaskState.waiting
+        job.requeue(task)
         if end.kind is EndKind.done:
             yield from self._task_done(endpoint, job, task, run, now)
         elif end.kind is EndKind.failed and not job.abandoned:
@@ -229,7 +229,7 @@
         if task is None or job is None or task.number != key.number:
             return
         if task.state is TaskState.placed:
-            task.state = TaskState.waiting
+            job.requeue(task)
         self._jobs.settle(job)
 
     def _meet_stranger(
@@ -254,6 +254,4 @@
                 needs = job.steps[task.key.step].needs
                 run = Run(key, needs, sent_at=now, confirmed_at=now)
                 endpoint.add(run)
-                task.number = max(task.number, key.number)
-                task.state = TaskState.placed
-                task.endpoint = endpoint.report.endpoint
+                job.claim(task, key, endpoint.report.endpoint)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,11 +1,15 @@
 """The dispatcher over a pool: what must hold, and how it meets loads."""
 
+from collections.abc import Sequence
 from functools import partial
 
 import pytest
 
 from cuminstack.core import EndpointId, JobKey
-from cuminstack.pool import JobState, order_names
+from cuminstack.pool import JobState, _assignment, order_names
+from cuminstack.pool._endpoint import Endpoint
+from cuminstack.pool._jobs import Job, Task
+from cuminstack.pool._placement import find_endpoint
 from fakes_pool import ENTRY, JobPlan, PoolWorld
 
 
@@ -292,6 +296,54 @@
         assert _ended(world) >= 2
 
 
+class TestFullPool:
+    """A convoy of waiting jobs costs nothing while there is no room.
+
+    The dispatcher is one process: what it does for each waiting job at each
+    event, it does some hundred times a second.
+    """
+
+    @pytest.fixture
+    def world(self) -> PoolWorld:
+        world = PoolWorld(workers=2)
+        for number in range(150):
+            world.submit(JobPlan(str(number), 2, 1, patience=300))
+        world.run_for(0.3)
+        return world
+
+    def test_no_search_for_room(
+        self, world: PoolWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        searched: list[JobKey] = []
+
+        def search(
+            endpoints: Sequence[Endpoint], job: Job, task: Task, *, now: float
+        ) -> Endpoint | None:
+            searched.append(task.key.job)
+            return find_endpoint(endpoints, job, task, now=now)
+
+        monkeypatch.setattr(_assignment, 'find_endpoint', search)
+        world.run_for(0.2)
+        assert not searched
+        world.run_for(1)
+        # Four tasks fit; each search but the last of a job finds room.
+        assert 4 <= len(searched) <= 8
+
+    def test_unchanged_jobs_are_not_counted_again(
+        self, world: PoolWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        counted: list[JobKey] = []
+        count_states = Job._work_out
+
+        def work_out(job: Job) -> object:
+            counted.append(job.submission.request.key)
+            return count_states(job)
+
+        monkeypatch.setattr(Job, '_work_out', work_out)
+        world.run_for(0.2)
+        assert not counted
+
+
 class TestOrder:
     """Who waits when there is less room than work."""
 
