Let entries stand in while no control instance is there

Change: control instances choose up to three deputies among the entries, spread by name, and pass them the endpoints' heartbeats. A deputy stands after 0.7 s without any control instance and dispatches until one leads or has been back for 1.5 s; it must be in touch with half of the entries. Entries tell the last term that they heard, so a control instance that comes back need not find it out by being fenced. An instance that no entry has doesn't rise above a later term any more: it would take endpoints away and serve nobody.

The test of risen terms now lets an entry have the instance, and a second one holds that it doesn't rise otherwise.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -1,5 +1,6 @@
 """How entries and control instances share work, and who dispatches it."""
 
+from cuminstack.fleet._deputies import DeputyElection, choose_deputies
 from cuminstack.fleet._election import SILENCE_SECONDS, Election
 from cuminstack.fleet._entry_desk import (
     Answer,
@@ -31,6 +32,7 @@
     'Answered',
     'Completed',
     'ControlBeat',
+    'DeputyElection',
     'Dropped',
     'Election',
     'Ended',
@@ -48,4 +50,5 @@
     'Submit',
     'Taken',
     'Unknown',
+    'choose_deputies',
 )
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -26,7 +26,7 @@
 #: How long it has to be the first in line, so that beats under way count.
 _PATIENCE_SECONDS: Final = 0.1
 #: Seconds for which the word of an entry counts; it gives it twice as often.
-_WORD_SECONDS: Final = 1.0
+WORD_SECONDS: Final = 1.0
 #: Seconds of a term in which entries may not have heard of it yet.
 _NEW_TERM_SECONDS: Final = 1.0
 
@@ -105,10 +105,12 @@
         entry: InstanceId,
         leader: InstanceId | None,
         *,
+        term: int = 0,
         now: float,
     ) -> None:
-        """Take which dispatcher an entry hears."""
+        """Take which dispatcher an entry hears, and its term."""
         self._words[entry] = _Word(leader, now)
+        self._highest_term = max(self._highest_term, term)
 
     def tick(self, *, weight: int, now: float) -> None:
         """Decide whether to lead.
@@ -130,7 +132,7 @@
 
         The dispatcher of that term is not in touch, or has lost its memory.
         """
-        if not self._term or self._rivals(now):
+        if not self._term or self._rivals(now) or not self._serves(now):
             self._fenced_since = None
         elif self._fenced_since is None:
             self._fenced_since = now
@@ -168,6 +170,13 @@
         if not is_new and self._is_served(now):
             self._resign()
 
+    def _serves(self, now: float) -> bool:
+        """Tell whether an entry in touch has this dispatcher."""
+        return any(
+            word.leader == self._own and now - word.at < WORD_SECONDS
+            for word in self._words.values()
+        )
+
     def _is_served(self, now: float) -> bool:
         """Tell whether most entries in touch have another dispatcher.
 
@@ -176,7 +185,7 @@
         words = [
             word.leader
             for word in self._words.values()
-            if now - word.at < _WORD_SECONDS
+            if now - word.at < WORD_SECONDS
         ]
         here = sum(leader in {None, self._own} for leader in words)
         return len(words) - here > here
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -174,13 +174,13 @@
         stamp = self._stamps.get(control, 0)
         leader = self._leader if self.has_leader(now=now) else None
         if control != self._leader:
-            return EntryBeat(stamp, version, leader)
+            return EntryBeat(stamp, version, leader, term=self._term)
         jobs = tuple(
             key
             for key, pending in self._pending.items()
             if pending.sent_to == control
         )
-        return EntryBeat(stamp, version, leader, jobs)
+        return EntryBeat(stamp, version, leader, jobs, term=self._term)
 
     def hear_leader(
         self,
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -38,19 +38,25 @@
 @message('fleet.leader_beat')
 @dataclass(frozen=True, slots=True)
 class LeaderBeat:
-    """Heartbeat of a control instance to the entries.
+    """Heartbeat of a control instance, or of a deputy, to the entries.
 
     Args:
         term: Its term; 0 if it doesn't dispatch.
         stamp: Its clock in seconds; entries send it back.
         controls: Control instances that it knows.
         waiting: Jobs of which nothing was started, by queue.
+        deputies: Entries that may dispatch if all control instances are lost.
+        entries: How many entries the sender is in touch with.
+        from_deputy: Whether the sender is one of the deputies.
     """
 
     term: int
     stamp: float
     controls: tuple[InstanceId, ...]
     waiting: dict[str, int]
+    deputies: tuple[InstanceId, ...] = ()
+    entries: int = 0
+    from_deputy: bool = False
 
 
 @message('fleet.entry_beat')
@@ -64,12 +70,14 @@
         leader: The dispatcher that it hears; None if it hears none.
         jobs: Jobs that it handed to the receiver and whose callers wait;
             None if the receiver isn't its dispatcher.
+        term: Term of the dispatcher that it hears, or heard last.
     """
 
     stamp: float
     version: int
     leader: InstanceId | None
     jobs: tuple[JobKey, ...] | None = None
+    term: int = 0
 
 
 @message('fleet.submit')
--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -53,6 +53,7 @@
         self._hello = Hello(own, incarnation)
         self._links: dict[InstanceId, PeerLink] = {}
         self._tasks: dict[InstanceId, asyncio.Task[None]] = {}
+        self._receive = receive
         self._listener = PeerListener(None, receive=receive, reject=reject)
 
     @property
@@ -89,9 +90,12 @@
         self.send_all((peer,), message)
 
     def send_all(self, peers: Iterable[InstanceId], message: Any) -> None:
-        """Send a message to several instances."""
+        """Send a message to several instances, this one perhaps included."""
         frame = wire.encode(message)
         for peer in peers:
+            if peer == self._own:
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self._receive, peer, message)
             link = self._links.get(peer)
             if link is not None:
                 link.send(frame)
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -75,8 +75,10 @@
     """Run an entry until it is told to end."""
     if settings.callers is None or settings.readiness is None:
         raise BadSettings('an entry needs addresses for callers')
+    client = WorkerClient()
+    await client.open()
     front = Front(exposition)
-    role = EntryRole(settings.role, new_value=front.apply)
+    role = EntryRole(settings.role, client=client, new_value=front.apply)
     front.attach(role)
     show_entry(exposition, settings.role.own, role)
     await role.start()
@@ -86,10 +88,12 @@
     )
     await ended.wait()
     front.drain()
+    role.leave()
     await _drain(role, settings.grace - _CLOSING_SECONDS)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
+    await client.close()
 
 
 async def _drain(role: EntryRole, seconds: float) -> None:
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -22,12 +22,16 @@
 from cuminstack.logs import log_event
 from cuminstack.pool import JobRequest, QueueTerms
 from cuminstack.roles._clock import steady_now
-from cuminstack.roles._ports import RoleSettings
+from cuminstack.roles._deputy import Deputy
+from cuminstack.roles._ports import EndpointClient, RoleSettings
+from cuminstack.roles._rejected import log_rejected
 from cuminstack.settings import LogLevel
 
-#: Seconds between heartbeats to the dispatcher; a third of the silence
-#: after which it is given up.
-_BEAT_SECONDS: Final = 0.1
+#: Seconds between two turns of the clockwork, as for control instances.
+_TICK_SECONDS: Final = 0.02
+#: Turns between heartbeats to the dispatcher; a third of the silence after
+#: which it is given up.
+_TURNS_OF_BEAT: Final = 5
 #: Every so many of them also go to the other control instances.
 _BEATS_TO_OTHERS: Final = 5
 
@@ -39,10 +43,17 @@
 
     Args:
         settings: What the process is told.
+        client: Carries orders to endpoints, if this entry has to dispatch.
         new_value: Called with each newer desired state.
     """
 
-    def __init__(self, settings: RoleSettings, *, new_value: NewValue) -> None:
+    def __init__(
+        self,
+        settings: RoleSettings,
+        *,
+        client: EndpointClient,
+        new_value: NewValue,
+    ) -> None:
         self._settings = settings
         self._new_value = new_value
         self._desk = EntryDesk(now=steady_now())
@@ -51,13 +62,15 @@
         self._waiting: dict[str, int] = {}
         self._version = 0
         self._beats = 0
+        self._turns = 0
         self._ticker: asyncio.Task[None] | None = None
         self._mesh = Mesh(
             settings.own,
             incarnation=time.time_ns(),
             receive=self._receive,
-            reject=_log_rejected,
+            reject=log_rejected,
         )
+        self._deputy = Deputy(settings, client=client, mesh=self._mesh)
 
     @property
     def version(self) -> int:
@@ -84,8 +97,13 @@
         """Close all links; jobs in progress are dropped."""
         if self._ticker is not None:
             self._ticker.cancel()
+        self._deputy.resign()
         await self._mesh.stop()
 
+    def leave(self) -> None:
+        """Stand in for control instances no more; this entry is to end."""
+        self._deputy.resign()
+
     async def wait_idle(self) -> None:
         """Wait until no caller waits for a job."""
         while self._answers:
@@ -137,9 +155,13 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._beat()
-            self._perform(self._desk.tick(now=steady_now()))
-            await asyncio.sleep(_BEAT_SECONDS)
+            now = steady_now()
+            self._deputy.tick(now=now)
+            if self._turns % _TURNS_OF_BEAT == 0:
+                self._beat()
+                self._perform(self._desk.tick(now=now))
+            self._turns += 1
+            await asyncio.sleep(_TICK_SECONDS)
 
     def _beat(self) -> None:
         self._beats += 1
@@ -149,6 +171,8 @@
             # all have to know when there is no dispatcher.
             if to_all or not self._desk.has_leader(now=steady_now()):
                 self._beat_to(control)
+        if self._deputy.leads:
+            self._beat_to(self._settings.own)
 
     def _beat_to(self, control: InstanceId) -> None:
         beat = self._desk.beat_for(
@@ -167,6 +191,8 @@
                 self._perform(self._desk.receive(sender, message, now=now))
             case Chosen():
                 self._apply(message.value)
+            case _:
+                self._deputy.receive(sender, message, now=now)
 
     def _hear_leader(
         self,
@@ -176,6 +202,7 @@
     ) -> None:
         before = self._desk.leader
         self._mesh.meet((sender, *beat.controls))
+        self._deputy.hear_leader(beat, now=now)
         self._perform(self._desk.hear_leader(sender, beat, now=now))
         if beat.term:
             # At once, so that the dispatcher knows how fresh it is.
@@ -214,12 +241,3 @@
         waiter = self._answers.pop(answered.job, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(answered.answer)
-
-
-def _log_rejected(sender: InstanceId | None, error: Exception) -> None:
-    log_event(
-        'link.rejected',
-        LogLevel.warning,
-        sender=sender,
-        error=error,
-    )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Who dispatches, and how entries keep their jobs with the dispatcher."""
 
+from itertools import product
 from typing import Any
 
 from cuminstack.core import InstanceId, JobKey, Send
@@ -7,6 +8,7 @@
     Answered,
     Completed,
     ControlBeat,
+    DeputyElection,
     Dropped,
     Election,
     Ended,
@@ -20,7 +22,9 @@
     Submit,
     Taken,
     Unknown,
+    choose_deputies,
 )
+from cuminstack.fleet._entry_desk import LEADERLESS_SECONDS
 from cuminstack.pool import (
     Dispatcher,
     JobRequest,
@@ -112,12 +116,128 @@
 
     def test_lost_terms_are_risen_above(self) -> None:
         election = _elect(ONE)
+        election.hear_entry(ENTRY, ONE, now=2)
         election.fenced(now=2)
+        election.hear_entry(ENTRY, ONE, now=2.5)
         election.fenced(now=2.5)
         assert election.term == 1
         election.fenced(now=3)
         assert election.term > 1
 
+    def test_nobody_rises_for_no_entry(self) -> None:
+        # Cut off from all entries, it would only take endpoints away from
+        # the dispatcher that they have.
+        election = _elect(ONE)
+        election.hear_entry(ENTRY, TWO, now=2)
+        for moment in range(20, 50):
+            election.fenced(now=moment / 10)
+        assert election.term == 1
+
+    def test_term_of_an_entry_is_heard(self) -> None:
+        election = _elect(ONE)
+        election.hear_entry(ENTRY, None, term=7, now=2)
+        assert election.highest_term == 7
+
+
+ENTRIES = tuple(InstanceId(f'10.0.0.{number}:1') for number in range(1, 7))
+
+
+class _Deputies:
+    """Entries of a deployment whose control instances come and go."""
+
+    def __init__(self, *, reach: int = 6) -> None:
+        self.now: float = 0
+        self.deputies = choose_deputies(ENTRIES)
+        self.elections = {name: DeputyElection(name, now=0) for name in ENTRIES}
+        self.controls = True
+        self._reach = ENTRIES[:reach]
+
+    @property
+    def leaders(self) -> list[InstanceId]:
+        return [name for name, one in self.elections.items() if one.term]
+
+    def run(self, seconds: float, *, term: int = 3) -> None:
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            if self.controls:
+                self._beat(term)
+            self._exchange()
+            for election in self.elections.values():
+                election.tick(weight=1, now=self.now)
+
+    def _beat(self, term: int) -> None:
+        beat = LeaderBeat(
+            term=term,
+            stamp=self.now,
+            controls=(ONE,),
+            waiting={},
+            deputies=self.deputies,
+            entries=len(ENTRIES),
+        )
+        for election in self.elections.values():
+            election.hear_leader(beat, now=self.now)
+
+    def _exchange(self) -> None:
+        leader = next(iter(self.leaders), None)
+        for one, name in product(self._reach, self._reach):
+            if one == name:
+                continue
+            self.elections[one].hear_entry(name, leader, now=self.now)
+            if self.elections[name].misses_controls(now=self.now):
+                beat = _beat(self.elections[name].term, leads=name == leader)
+                self.elections[one].hear(name, beat, now=self.now)
+
+
+class TestDeputies:
+    """All control instances are lost, and the endpoints are not."""
+
+    def test_they_are_spread_over_the_entries(self) -> None:
+        assert choose_deputies(reversed(ENTRIES)) == ENTRIES[::2]
+        assert choose_deputies(ENTRIES[:2]) == ENTRIES[:2]
+
+    def test_none_leads_beside_control_instances(self) -> None:
+        world = _Deputies()
+        world.run(5)
+        world.run(5, term=0)
+        assert not world.leaders
+
+    def test_one_leads_before_entries_refuse(self) -> None:
+        world = _Deputies()
+        world.run(2)
+        world.controls = False
+        world.run(LEADERLESS_SECONDS)
+        assert world.leaders == [ENTRIES[0]]
+        assert world.elections[ENTRIES[0]].term > 3
+        world.run(5)
+        assert world.leaders == [ENTRIES[0]]
+
+    def test_one_that_is_cut_off_does_not_lead(self) -> None:
+        world = _Deputies(reach=2)
+        world.run(2)
+        world.controls = False
+        world.run(5)
+        assert not world.leaders
+
+    def test_control_instances_get_time_to_come_back(self) -> None:
+        world = _Deputies()
+        world.run(2)
+        world.controls = False
+        world.run(3)
+        world.controls = True
+        world.run(1, term=0)
+        assert world.leaders == [ENTRIES[0]]
+        world.run(1, term=0)
+        assert not world.leaders
+
+    def test_leading_control_instance_is_yielded_to(self) -> None:
+        world = _Deputies()
+        world.run(2)
+        world.controls = False
+        world.run(3)
+        world.controls = True
+        world.run(0.2, term=9)
+        assert not world.leaders
+
 
 class TestEntryDesk:
     """The entry's side of a job."""
