Say in the log what became of each job, and explain a job from all logs

Cause: a job that its caller gave up left one line, so that it could not be told why none of its tasks was started (docs/OPERATIONS.md asked for a grep).

Change: entries write a line when a job is submitted and one when it is answered; the dispatcher says how far a dropped job was, what a refusal was decided by, and which jobs the voided orders and lost runs were of. cuminstack explain KEY LOG... prints the lines of a job and those around them of its endpoints and dispatcher.

--- a/src/cuminstack/cli/_program.py
+++ b/src/cuminstack/cli/_program.py
@@ -9,6 +9,7 @@
 
 import fire
 import msgspec
+from fire.decorators import SetParseFn
 
 from cuminstack import queries
 from cuminstack.cli._exit import ExitCode, describe, exit_code_of
@@ -41,7 +42,7 @@
     """Drive cuminstack and see what it does.
 
     Commands: submit SHEET, check SHEET, diff OLD NEW, sheet, status, members,
-    endpoints, histograms.
+    endpoints, histograms, explain KEY LOG...
     Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable.
 
     Args:
@@ -116,6 +117,26 @@
         """Show histograms and counts, added up over all instances given."""
         return Action(self._histograms)
 
+    def explain(self, key: str, *logs: str) -> Action:
+        """Show what became of a job; no instance is asked.
+
+        Args:
+            key: Key of the job.
+            logs: Paths of the logs of all instances.
+        """
+        return Action(lambda: self._explain(str(key), tuple(map(str, logs))))
+
+    def _explain(self, key: str, paths: tuple[str, ...]) -> str:
+        events: list[queries.LoggedEvent] = []
+        for path in paths:
+            text = _read_file(path).decode(errors='replace')
+            source = Path(path).stem
+            events.extend(queries.read_events(source, text.splitlines()))
+        found = queries.explain_job(key, events)
+        if not found:
+            _end(ExitCode.refused, f'no line names the job {key}')
+        return '\n'.join(f'{event.source}: {event.text}' for event in found)
+
     def _submit(self, path: str) -> str:
         body = _read_file(path)
         return self._show(self._ask(lambda client: submit_sheet(client, body)))
@@ -157,6 +178,8 @@
     Raises:
         SystemExit: With an `ExitCode`, unless all went well.
     """
+    # Else a key of digits around an `e` would become a number.
+    SetParseFn(str)(Tool.explain)
     fire.Fire(
         Tool,
         command=list(arguments),
--- a/src/cuminstack/logs/__init__.py
+++ b/src/cuminstack/logs/__init__.py
@@ -9,9 +9,11 @@
     log_to_standard_output,
 )
 from cuminstack.logs._pipe import PipeStream
+from cuminstack.logs._reading import BadLine, read_fields
 
 __all__ = (
     'MAX_VALUE_CHARACTERS',
+    'BadLine',
     'LineBudget',
     'LogOutput',
     'PipeStream',
@@ -19,4 +21,5 @@
     'format_line',
     'log_event',
     'log_to_standard_output',
+    'read_fields',
 )
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -39,6 +39,8 @@
 #: Patience of a caller that doesn't tell.
 _DEFAULT_PATIENCE_MS: Final = 2000.0
 _MS: Final = 1000.0
+#: Digits of seconds after the point, in the log.
+_DIGITS: Final = 3
 #: When to come back to an entry that was not told any desired state.
 _NO_STATE_SECONDS: Final = 1
 
@@ -144,16 +146,31 @@
             log_event('job.unsupported', LogLevel.info, key=key, error=error)
             return _not_run('unsupported', _NO_STATE_SECONDS)
         asked_at = steady_now()
-        answer = await role.run_job(
-            job, queue.terms, seconds=_patience(request)
+        patience = _patience(request)
+        log_event(
+            'job.submitted',
+            LogLevel.info,
+            key=key,
+            queue=queue.terms.name,
+            patience=patience,
+            version=self._state.version,
+            dispatcher=role.dispatcher,
         )
+        answer = await role.run_job(job, queue.terms, seconds=patience)
+        seconds = steady_now() - asked_at
         self._exposition.job_answered(
             queue.terms.name,
             outcome_word(answer),
-            seconds=steady_now() - asked_at,
+            seconds=seconds,
+        )
+        log_event(
+            'job.answered',
+            LogLevel.info,
+            key=key,
+            outcome=outcome_word(answer),
+            seconds=round(seconds, _DIGITS),
+            dispatcher=role.dispatcher,
         )
-        if not isinstance(answer, Completed):
-            log_event('job.not_completed', LogLevel.info, key=key, why=answer)
         return _to_response(answer)
 
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -17,6 +17,7 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Submission
 from cuminstack.pool._notes import (
+    note_dropped,
     note_ready,
     note_refusal,
     note_start_refused,
@@ -163,7 +164,7 @@
             job = self._jobs.make(submission)
             refusal = refusal_of(job, self._load_of(job), now=now)
             if refusal is not None and not job.may_have_run:
-                return (refusal, note_refusal(refusal))
+                return (refusal, note_refusal(refusal, job, now=now))
             self._jobs.add(job)
         self._runs.claim(job, now=now)
         return self._assigner.assign(now=now)
@@ -174,7 +175,11 @@
         if job is None or job.abandoned:
             return ()
         self._jobs.abandon(job, now=now)
-        return (*self._runs.stop_all(job, now), *self._assigner.assign(now=now))
+        return (
+            note_dropped(job, now=now),
+            *self._runs.stop_all(job, now),
+            *self._assigner.assign(now=now),
+        )
 
     def start_answered(
         self,
@@ -307,7 +312,7 @@
                 self._jobs.abandon(job, now=now)
                 self._jobs.settle(job)
                 yield refusal
-                yield note_refusal(refusal)
+                yield note_refusal(refusal, job, now=now)
 
     def _write_off(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
         if endpoint.phase is Phase.voiding and now > endpoint.lapses_at:
--- a/src/cuminstack/pool/_notes.py
+++ b/src/cuminstack/pool/_notes.py
@@ -1,20 +1,70 @@
 """Log lines of what the pool decides."""
 
+from collections import Counter
+from collections.abc import Iterable
+from typing import Final
+
 from cuminstack.pool._endpoint import Endpoint, Run
+from cuminstack.pool._jobs import Job, TaskState
 from cuminstack.pool._progress import Verdict
 from cuminstack.pool._records import (
     EndpointView,
     JobRefused,
     Noted,
     Refusal,
+    RunKey,
     StartRun,
 )
 
+#: Digits of seconds after the point.
+_DIGITS: Final = 3
+#: Jobs that a line names at most; an endpoint runs a dozen tasks at once.
+_MOST_JOBS: Final = 24
+
+
+def list_jobs(runs: Iterable[RunKey]) -> str:
+    """Name the jobs of runs, each once, with commas between."""
+    jobs = sorted({run.task.job for run in runs})
+    return ','.join(jobs[:_MOST_JOBS])
+
 
-def note_refusal(refusal: JobRefused) -> Noted:
+def note_refusal(refusal: JobRefused, job: Job, *, now: float) -> Noted:
+    needed = job.finish_after(now) - now
     return Noted(
         'job.refused',
-        (('key', refusal.job), ('reason', refusal.reason)),
+        (
+            ('key', refusal.job),
+            ('reason', refusal.reason),
+            ('left', round(job.submission.deadline - now, _DIGITS)),
+            ('needed', round(needed, _DIGITS)),
+            ('wait', round(refusal.retry_after, _DIGITS)),
+        ),
+    )
+
+
+def note_dropped(job: Job, *, now: float) -> Noted:
+    """Say how far a job was when its caller left."""
+    submission = job.submission
+    states = Counter(task.state for task in job.tasks.values())
+    places = sorted(
+        {
+            task.endpoint
+            for task in job.tasks.values()
+            if task.endpoint and task.state is TaskState.placed
+        },
+    )
+    return Noted(
+        'job.dropped',
+        (
+            ('key', submission.request.key),
+            ('after', round(now - submission.arrived_at, _DIGITS)),
+            ('waiting', states[TaskState.waiting]),
+            ('running', states[TaskState.placed]),
+            ('done', states[TaskState.done]),
+            ('resumed', submission.is_resumed),
+            ('held', max(0, round(submission.held_until - now, _DIGITS))),
+            ('endpoints', ','.join(places)),
+        ),
     )
 
 
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -7,7 +7,7 @@
 from cuminstack.pool._endpoint import Endpoint, Phase, Run
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Task, TaskState
-from cuminstack.pool._notes import note_verdict
+from cuminstack.pool._notes import list_jobs, note_verdict
 from cuminstack.pool._progress import Verdict, judge_run
 from cuminstack.pool._records import (
     Effect,
@@ -43,15 +43,17 @@
     def lose(self, endpoint: Endpoint) -> Iterator[Effect]:
         """Take that nothing that was ordered runs at an endpoint."""
         runs = endpoint.clear()
-        for run in runs:
-            self.requeue(run.key)
-        if runs:
+        lost = [run.key for run in runs]
+        for key in lost:
+            self.requeue(key)
+        if lost:
             yield Noted(
                 'endpoint.runs_lost',
                 (
                     ('endpoint', endpoint.report.endpoint),
                     ('phase', endpoint.phase),
-                    ('runs', len(runs)),
+                    ('runs', len(lost)),
+                    ('jobs', list_jobs(lost)),
                 ),
             )
 
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from cuminstack.pool._endpoint import Endpoint, Phase
+from cuminstack.pool._notes import list_jobs
 from cuminstack.pool._records import Effect, Hold, Noted, RunKey, StopRun
 from cuminstack.pool._tokens import TokenSource
 
@@ -77,6 +78,7 @@
                 ('cause', cause),
                 ('token', endpoint.token),
                 ('runs', len(endpoint.runs)),
+                ('jobs', list_jobs(endpoint.runs)),
             ),
         )
         hold = self._next_hold(endpoint, now)
--- a/src/cuminstack/queries/__init__.py
+++ b/src/cuminstack/queries/__init__.py
@@ -1,5 +1,6 @@
 """Questions of operators, and the shapes of their answers."""
 
+from cuminstack.queries._explain import LoggedEvent, explain_job, read_events
 from cuminstack.queries._fetch import (
     HistogramsView,
     fetch_endpoints,
@@ -36,6 +37,7 @@
     'InstanceState',
     'InstanceView',
     'LoadView',
+    'LoggedEvent',
     'MemberView',
     'MembersView',
     'SheetChanges',
@@ -45,9 +47,11 @@
     'StatusView',
     'check_sheet',
     'compare_sheets',
+    'explain_job',
     'fetch_endpoints',
     'fetch_histograms',
     'fetch_members',
     'fetch_sheet',
     'fetch_status',
+    'read_events',
 )
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -77,6 +77,11 @@
         """Version of the desired state here; 0 if there is none."""
         return self._version
 
+    @property
+    def dispatcher(self) -> InstanceId | None:
+        """The dispatcher that this entry has or had last, if any."""
+        return self._desk.leader
+
     @property
     def is_ready(self) -> bool:
         """Whether jobs can be taken now."""
--- a/tests/processes/test_callers.py
+++ b/tests/processes/test_callers.py
@@ -89,7 +89,9 @@
                     for instance in range(3)
                 ),
             )
-            assert kinds(replies) == {COMPLETE}
+            # What each caller was told shows in a failure.
+            failures = [reply for reply in replies if reply.failed]
+            assert not failures
             assert {own.starts(job) for job in jobs} == {4}
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from pathlib import Path
+from types import MappingProxyType
 
 import pytest
 
@@ -199,3 +200,62 @@
             'longer     20',
             'none        -',
         ]
+
+
+LOGS = MappingProxyType(
+    {
+        'entry-1': """\
+time=2026-12-04T10:00:00.100000+00:00 level=info event=job.submitted key=a1
+time=2026-12-04T10:00:00.900000+00:00 level=warning event=dispatcher.changed
+time=2026-12-04T10:00:01.700000+00:00 level=info event=job.answered key=a1
+time=2026-12-04T10:00:01.800000+00:00 level=info event=job.submitted key=b2
+""",
+        'control-1': """\
+time=2026-12-04T10:00:00.500+00:00 event=endpoint.lost endpoint=e1 jobs=a1,b2
+time=2026-12-04T10:00:00.600000+00:00 event=endpoint.ready endpoint=e1
+time=2026-12-04T10:00:00.600000+00:00 event=endpoint.ready endpoint=e2
+time=2026-12-04T10:00:09.000000+00:00 event=dispatcher.leads term=2
+Traceback (most recent call last):
+""",
+    }
+)
+
+
+class TestExplain:
+    """What became of a job, out of the logs of all instances."""
+
+    @pytest.fixture
+    def logs(self, tmp_path: Path) -> list[str]:
+        paths = [tmp_path / f'{name}.log' for name in LOGS]
+        for path, text in zip(paths, LOGS.values(), strict=True):
+            path.write_text(text, encoding='utf-8')
+        return list(map(str, paths))
+
+    async def test_way_of_a_job(
+        self, logs: list[str], capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert await call('explain', 'a1', *logs) is ExitCode.ok
+        shown = capsys.readouterr().out.splitlines()
+        events = [line.partition('event=')[2].split()[0] for line in shown]
+        assert events == [
+            'job.submitted',
+            'endpoint.lost',
+            'endpoint.ready',
+            'dispatcher.changed',
+            'job.answered',
+        ]
+        assert shown[1].startswith('control-1: ')
+
+    async def test_unknown_job(self, logs: list[str]) -> None:
+        assert await call('explain', 'c3', *logs) is ExitCode.refused
+
+    async def test_key_that_looks_like_a_number(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / 'entry-1.log'
+        moment = 'time=2026-12-04T10:00:00.100000+00:00'
+        path.write_text(f'{moment} event=job.submitted key=184200000000e15\n')
+        assert (
+            await call('explain', '184200000000e15', str(path)) is ExitCode.ok
+        )
+        assert 'key=184200000000e15' in capsys.readouterr().out
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -19,6 +19,7 @@
     configure_logs,
     format_line,
     log_event,
+    read_fields,
 )
 from cuminstack.settings import LogLevel, LogSettings
 
@@ -60,6 +61,7 @@
         assert line.isprintable()
         fields = fields_of(line)
         assert fields['odd'] == text
+        assert read_fields(line) == fields
         assert fields['even'] == 'b'
 
     def test_leading_fields(self) -> None:
