Test the roles over real links: a deputy stands in, terms and endpoints are kept

Cause: what a control instance remembers over a restart, and a deputy among real entries, were held by tests of the deciding parts only.

Change: tests/test_roles.py runs a control instance and two entries over loopback with a worker in memory; the control instance is cut off without a word, a job runs by a deputy, the control instance comes back in a later term and serves again. Files of terms and endpoints are read back, damaged ones are left out.

--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,203 @@
+"""Roles over real links, with a worker in memory."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import cbor2
+import pytest
+from bench._polling import until
+from bench._ports import LOOPBACK, free_ports
+
+from cuminstack.core import InstanceId, JobKey
+from cuminstack.fleet import Answer, Completed
+from cuminstack.pool import (
+    EndpointView,
+    Hold,
+    JobRequest,
+    JobState,
+    OrderRefused,
+    QueueTerms,
+    Room,
+    Started,
+    StartRun,
+    Step,
+    StopRun,
+)
+from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
+from cuminstack.roles._memory import EndpointMemory, TermMemory
+from cuminstack.store import DurableFile
+from fakes_workers import SERVICE, FakeWorker
+
+PATIENCE = 30
+TERMS = QueueTerms('queue', SERVICE, stretch=2, slack=5)
+DONE = Completed(JobState.completed)
+
+
+class _Orders:
+    """Carries orders to one worker."""
+
+    def __init__(self, worker: FakeWorker) -> None:
+        self._worker = worker
+
+    async def start(self, order: StartRun) -> Started | OrderRefused:
+        return self._worker.start(
+            order, 0.05, 1000, poison=False, now=steady_now()
+        )
+
+    async def stop(self, order: StopRun) -> None:
+        self._worker.stop(order, steady_now())
+
+    async def hold(self, order: Hold) -> EndpointView | OrderRefused:
+        refusal = self._worker.take_hold(order, steady_now())
+        if refusal is not None:
+            return refusal
+        give_up = steady_now() + order.wait_ms / 1000
+        while not self._worker.ends and steady_now() < give_up:
+            await asyncio.sleep(0.01)
+            self._worker.advance(steady_now())
+        return self._worker.view(steady_now())
+
+
+class _Fleet:
+    """One control instance and two entries."""
+
+    def __init__(self, folder: Path) -> None:
+        control, *entries = (
+            InstanceId(f'{LOOPBACK}:{port}') for port in free_ports(3)
+        )
+        self.worker = FakeWorker('w0', 16000, rate=1)
+        self.control_name = control
+        self._folder = folder
+        self.entries = [
+            EntryRole(
+                self._settings(entry, None),
+                client=_Orders(self.worker),
+                new_value=lambda state: None,
+            )
+            for entry in entries
+        ]
+        self.control = self._make_control()
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        await self.control.start()
+        for entry in self.entries:
+            await entry.start()
+        reporter = asyncio.create_task(self._report())
+        yield
+        reporter.cancel()
+        for entry in self.entries:
+            await entry.stop()
+        await self.control.stop()
+
+    async def cut_power(self) -> None:
+        """End the control instance without a word."""
+        assert self.control._ticker is not None
+        self.control._ticker.cancel()
+        await self.control._mesh.stop()
+
+    async def restart(self) -> None:
+        self.control = self._make_control()
+        await self.control.start()
+
+    async def job(self, name: str) -> Answer:
+        step = Step(count=2, needs=Room(1000, 64), estimate=0.05)
+        request = JobRequest(JobKey(name), 'queue', '', (step,))
+        return await self.entries[0].run_job(request, TERMS, seconds=20)
+
+    async def eventually(self, condition: Callable[[], bool]) -> None:
+        async def holds() -> bool:
+            return condition()
+
+        await until(holds, seconds=PATIENCE)
+
+    def _make_control(self) -> ControlRole:
+        settings = self._settings(self.control_name, self._folder)
+        return ControlRole(settings, client=_Orders(self.worker))
+
+    def _settings(self, own: InstanceId, folder: Path | None) -> RoleSettings:
+        return RoleSettings(
+            own=own,
+            zone='zone',
+            controls=(self.control_name,),
+            first_start=True,
+            tolerated=0,
+            data_folder=folder,
+            order='useful-first',
+        )
+
+    async def _report(self) -> None:
+        while True:
+            self.control.observe(self.worker.report())
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.asyncio
+class TestStandIn:
+    """The control instance loses power, and comes back."""
+
+    async def test_jobs_go_on(self, tmp_path: Path) -> None:
+        fleet = _Fleet(tmp_path)
+        entry = fleet.entries[0]
+        async with fleet.run():
+            await fleet.eventually(
+                lambda: entry.dispatcher == fleet.control_name,
+            )
+            assert await fleet.job('before') == DONE
+            await fleet.eventually(
+                lambda: all(
+                    each._deputy._candidate.reports for each in fleet.entries
+                ),
+            )
+            before = fleet.control.term
+            await fleet.cut_power()
+            await fleet.eventually(
+                lambda: entry.dispatcher != fleet.control_name,
+            )
+            assert await fleet.job('without') == DONE
+            await fleet.restart()
+            await fleet.eventually(
+                lambda: entry.dispatcher == fleet.control_name,
+            )
+            assert await fleet.job('after') == DONE
+            # The deputy's term was between the two.
+            assert fleet.control.term >= before + 2
+
+
+@pytest.mark.asyncio
+class TestMemory:
+    """What a control instance remembers over a restart."""
+
+    async def test_term(self, tmp_path: Path) -> None:
+        memory = TermMemory(tmp_path)
+        assert not memory.load()
+        memory.keep(7)
+
+        async def is_kept() -> bool:
+            return TermMemory(tmp_path).load() == 7
+
+        await until(is_kept, seconds=PATIENCE)
+
+    async def test_endpoints(self, tmp_path: Path) -> None:
+        reports = (FakeWorker('w0', 16000, rate=1).report(),)
+        EndpointMemory(tmp_path).keep(reports)
+
+        async def is_kept() -> bool:
+            return EndpointMemory(tmp_path).load() == reports
+
+        await until(is_kept, seconds=PATIENCE)
+
+    @pytest.mark.parametrize('record', [b'\xff\xff', cbor2.dumps([{'a': 1}])])
+    async def test_damaged_endpoints(
+        self, tmp_path: Path, record: bytes
+    ) -> None:
+        DurableFile(tmp_path, name='endpoints').save(record)
+        assert not EndpointMemory(tmp_path).load()
+
+    async def test_without_a_disk(self) -> None:
+        memory = TermMemory(None)
+        memory.keep(7)
+        assert not memory.load()
+        assert not EndpointMemory(None).load()
