--- /dev/null
+++ b/bench/pool/__init__.py
@@ -0,0 +1,6 @@
+"""A pool without a network: workers, time and faults around a dispatcher."""
+
+from bench.pool._worker import SERVICE, FakeWorker
+from bench.pool._world import ENTRY, JobPlan, PoolWorld
+
+__all__ = ('ENTRY', 'SERVICE', 'FakeWorker', 'JobPlan', 'PoolWorld')
--- a/tests/fakes_pool.py
+++ b/bench/pool/_world.py
@@ -4,8 +4,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count, pairwise
 
+from bench.pool._worker import SERVICE, FakeWorker, Span
 from cuminstack.core import InstanceId, JobKey
 from cuminstack.pool import (
     Dispatcher,
@@ -26,7 +28,6 @@
     TaskKey,
     find_order,
 )
-from fakes_workers import SERVICE, FakeWorker, Span
 
 ENTRY = InstanceId('entry')
 #: One way between a dispatcher and a worker, in seconds.
@@ -119,11 +120,11 @@
         self.at(self.now + seconds, action)
 
     def every(self, seconds: float, action: Callable[[], None]) -> None:
-        def again() -> None:
-            action()
-            self.after(seconds, again)
+        self.after(0, partial(self._repeat, seconds, action))
 
-        self.after(0, again)
+    def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
+        action()
+        self.after(seconds, partial(self._repeat, seconds, action))
 
     def run_for(self, seconds: float) -> None:
         until = self.now + seconds
@@ -225,15 +226,24 @@
             self.after(delay, lambda: self._carry_out_late(worker, order))
             return
         loses = self.chance.random() < faults.lose_answers
+        receiver = None if loses else sender
+        self.after(
+            HOP, partial(self._arrive, worker, order, receiver, asked_at)
+        )
 
-        def arrive() -> None:
-            if worker.faults.dark:
-                return
-            answer = self._carry_out(worker, order)
-            if not loses and answer is not None:
-                self._answer(worker, order, answer, asked_at, sender)
-
-        self.after(HOP, arrive)
+    def _arrive(
+        self,
+        worker: FakeWorker,
+        order: StartRun | StopRun | Hold,
+        receiver: Dispatcher | None,
+        asked_at: float,
+    ) -> None:
+        """Carry out an order, and answer unless the answer gets lost."""
+        if worker.faults.dark:
+            return
+        answer = self._carry_out(worker, order)
+        if receiver is not None and answer is not None:
+            self._answer(worker, order, answer, asked_at, receiver)
 
     def _carry_out_late(
         self,
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -4,13 +4,13 @@
 from functools import partial
 
 import pytest
+from bench.pool import ENTRY, JobPlan, PoolWorld
 
 from cuminstack.core import EndpointId, JobKey
 from cuminstack.pool import JobState, _assignment, order_names
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
-from fakes_pool import ENTRY, JobPlan, PoolWorld
 
 
 def _mix(world: PoolWorld, jobs: int, *, gap: float = 0.03) -> None:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -9,6 +9,7 @@
 import pytest
 from bench._polling import until
 from bench._ports import LOOPBACK, free_ports
+from bench.pool import SERVICE, FakeWorker
 
 from cuminstack.core import InstanceId, JobKey
 from cuminstack.fleet import Answer, Completed
@@ -28,7 +29,6 @@
 from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
 from cuminstack.roles._memory import EndpointMemory, TermMemory
 from cuminstack.store import DurableFile
-from fakes_workers import SERVICE, FakeWorker
 
 PATIENCE = 30
 TERMS = QueueTerms('queue', SERVICE, stretch=2, slack=5)
