--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -1,16 +1,16 @@
 """How entries and control instances share work, and who dispatches it."""
 
-from cuminstack.fleet._deputies import DeputyElection, choose_deputies
-from cuminstack.fleet._election import SILENCE_SECONDS, Election
-from cuminstack.fleet._entry_desk import (
+from cuminstack.fleet._answers import (
     Answer,
     Answered,
     Completed,
-    EntryDesk,
     Failure,
     MayHaveRun,
     NotRun,
 )
+from cuminstack.fleet._deputies import DeputyElection, choose_deputies
+from cuminstack.fleet._election import SILENCE_SECONDS, Election
+from cuminstack.fleet._entry_desk import EntryDesk
 from cuminstack.fleet._job_desk import JobDesk, Order
 from cuminstack.fleet._messages import (
     ControlBeat,
--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -60,7 +60,7 @@
 
     def hear_leader(self, beat: LeaderBeat, *, now: float) -> None:
         """Take a heartbeat of a control instance."""
-        if now - self._control_at > SILENCE_SECONDS * 2:
+        if now - self._control_at > _STAND_SECONDS:
             self._returned_at = now
         self._control_at = now
         self._control_leads = bool(beat.term)
@@ -90,7 +90,7 @@
         return self._is_deputy and now - self._control_at > _STAND_SECONDS
 
     def _goes_on(self, now: float) -> bool:
-        if now - self._control_at > SILENCE_SECONDS * 2:
+        if now - self._control_at > _STAND_SECONDS:
             return True
         is_back = now - self._returned_at > _RETURN_SECONDS
         return not (is_back or self._control_leads)
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -1,11 +1,18 @@
 """The jobs of an entry's callers, and the dispatcher that has them."""
 
-import enum
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.fleet._answers import (
+    Answer,
+    Answered,
+    Completed,
+    Failure,
+    MayHaveRun,
+    NotRun,
+)
 from cuminstack.fleet._election import SILENCE_SECONDS
 from cuminstack.fleet._messages import (
     Dropped,
@@ -17,7 +24,7 @@
     Taken,
     Unknown,
 )
-from cuminstack.pool import LEASE_SECONDS, JobRequest, JobState, QueueTerms
+from cuminstack.pool import LEASE_SECONDS, JobRequest, QueueTerms
 
 #: Seconds that a dispatcher goes on with the jobs of a silent entry.
 ENTRY_LEASE_SECONDS: Final = 0.4
@@ -33,52 +40,6 @@
 LEADERLESS_SECONDS: Final = 1.0
 
 
-class Failure(enum.Enum):
-    """Why a job has no answer of its tasks."""
-
-    deadline = 'deadline'
-    no_dispatcher = 'no_dispatcher'
-    interrupted = 'interrupted'
-
-
-@dataclass(frozen=True, slots=True)
-class Completed:
-    """The job ran, and this is how it ended."""
-
-    state: JobState
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """None of its tasks ran, nor will.
-
-    Args:
-        reason: Why, as a word.
-        retry_after: Seconds after which it may be taken.
-    """
-
-    reason: str
-    retry_after: float
-
-
-@dataclass(frozen=True, slots=True)
-class MayHaveRun:
-    """It is not known how much of it ran."""
-
-    failure: Failure
-
-
-Answer = Completed | NotRun | MayHaveRun
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """The final answer for the caller of a job."""
-
-    job: JobKey
-    answer: Answer
-
-
 Effect = Send | Answered
 Effects = tuple[Effect, ...]
 
--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from cuminstack.core import InstanceId
-from cuminstack.fleet import Answer, Completed, MayHaveRun
+from cuminstack.fleet import Answer, Completed, MayHaveRun, NotRun
 from cuminstack.logs import LogOutput
 from cuminstack.metrics import CONTENT_TYPE, Exposition
 from cuminstack.roles import ControlRole, EntryRole
@@ -38,7 +38,7 @@
             return answer.state.value
         case MayHaveRun():
             return answer.failure.value
-        case _:
+        case NotRun():
             return f'not_run_{answer.reason}'
 
 
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -214,14 +214,15 @@
         match message:
             case ControlBeat():
                 self._hear_control(sender, message, now)
+            case EntryBeat():
+                self._candidate.receive(sender, message, now=now)
+                self._update_entry(sender, message)
             case Chosen():
                 self._register.learn(message)
             case _ if isinstance(message, MESSAGES):
                 self._register.receive(sender, message)
             case _:
                 self._candidate.receive(sender, message, now=now)
-        if isinstance(message, EntryBeat):
-            self._update_entry(sender, message)
 
     def _hear_control(
         self,
