Refuse bad rows and addresses by their own types

Cause: fuzzed documents showed two: a row of an endpoint's lists whose task is no text raised an AttributeError, so that the answer to the hold was lost, and an address in the settings file that can't be read ended the program with a traceback.

Change: rows are converted to their types before use, and left out with a line if they can't be; addresses are refused as bad settings.

Seen: tests/test_platform_input.py spoils jobs, desired states, heartbeats, lists of endpoints, settings and frames, 400 seeded cases each; both failed before.

--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -9,7 +9,7 @@
 
 from cuminstack.core import InstanceId
 from cuminstack.roles import RoleSettings
-from cuminstack.settings import Address
+from cuminstack.settings import Address, NotReadable
 
 #: Names the file.
 SETTINGS_VARIABLE: Final = 'CUMINSTACK_SETTINGS'
@@ -95,9 +95,12 @@
         BadSettings: It lacks what is needed.
     """
     try:
-        found = msgspec.convert(plain, _File)
-    except msgspec.ValidationError as error:
+        return _make_settings(msgspec.convert(plain, _File))
+    except (msgspec.ValidationError, NotReadable) as error:
         raise BadSettings(str(error)) from error
+
+
+def _make_settings(found: _File) -> PlatformSettings:
     port, _ = found.ephemeral_ports
     role = RoleSettings(
         own=InstanceId(f'{found.ip}:{port}'),
--- a/src/cuminstack/platform/_workers.py
+++ b/src/cuminstack/platform/_workers.py
@@ -74,6 +74,14 @@
 )
 
 
+#: Task, run, checkpoint, percent.
+_ProgressRow = tuple[str, int, Any, float]
+#: Number, task, run, how it ended.
+_EndRow = tuple[int, str, int, str]
+#: What a row that can't be read raises: no list, another type, no run.
+_BAD_ROW: Final = (TypeError, msgspec.ValidationError, ValueError)
+
+
 def decode_heartbeat(endpoint: str, body: bytes) -> EndpointReport:
     """Decode a heartbeat.
 
@@ -137,15 +145,15 @@
     for row in rows:
         try:
             yield decode(row)
-        except (ValueError, TypeError, LookupError) as error:
+        except _BAD_ROW as error:
             log_event('worker.bad_row', LogLevel.warning, row=row, error=error)
 
 
 def _decode_progress(row: list[Any]) -> RunProgress:
-    task, number, _, percent = row[:4]
-    return RunProgress(decode_run(task, int(number)), float(percent))
+    task, number, _, percent = msgspec.convert(row[:4], _ProgressRow)
+    return RunProgress(decode_run(task, number), percent)
 
 
 def _decode_end(row: list[Any]) -> RunEnd:
-    number, task, run, how = row[:4]
-    return RunEnd(int(number), decode_run(task, int(run)), EndKind(how))
+    number, task, run, how = msgspec.convert(row[:4], _EndRow)
+    return RunEnd(number, decode_run(task, run), EndKind(how))
--- /dev/null
+++ b/tests/test_platform_input.py
@@ -0,0 +1,143 @@
+"""What comes from outside is decoded, or refused by a type of its own."""
+
+import json
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminstack import wire
+from cuminstack.core import JobKey
+from cuminstack.platform._desired_state import (
+    InvalidState,
+    canonical_body,
+    decode_state,
+)
+from cuminstack.platform._jobs import BadJob, UnsupportedJob, decode_job
+from cuminstack.platform._settings import BadSettings, decode_settings
+from cuminstack.platform._workers import (
+    BadReport,
+    decode_clock,
+    decode_heartbeat,
+    decode_refusal,
+    decode_view,
+)
+from cuminstack.pool import Refusal
+
+JOB = """{
+    "bestEffort": true, "spec": "s",
+    "steps": [{"count": 2, "cpu": 1000, "memMb": 64, "estRuntimeMs": 60}]
+}"""
+STATE = """{
+    "version": 7, "services": [{"name": "s"}],
+    "routes": [{
+        "name": "r", "host": "h.example", "pathPrefix": "/q/",
+        "timeoutMs": 1500, "service": "s"
+    }]
+}"""
+BEAT = """{
+    "service": "s", "address": "10.0.0.9:80", "zone": "z", "state": "ready",
+    "sequence": 4, "freeCapacity": {"cpu": 16000, "memMb": 32768},
+    "labels": ["a"], "born": 1700000000000
+}"""
+VIEW = """{
+    "clockMs": 5, "born": 3,
+    "running": [["5c0e7a21d94b36f8.0.1", 3, null, 50, 1]],
+    "finished": [[7, "5c0e7a21d94b36f8.0.1", 3, "done", null]]
+}"""
+FILE = """{
+    "ip": "10.0.0.1", "zone": "z", "ephemeralPorts": [7720, 7735],
+    "seeds": ["10.0.0.1:80"], "listenAddrs": {"control": "10.0.0.1:80"}
+}"""
+
+#: Values that may stand anywhere in a document.
+ODD = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=8),
+    st.just([]),
+    st.just({}),
+    st.just('\ud800'),
+    st.just(10**400),
+)
+
+
+@st.composite
+def spoiled(draw: st.DrawFn, plain: Any) -> Any:
+    """Put an odd value in the place of some part of a document."""
+    if isinstance(plain, dict) and draw(st.booleans()):
+        name = draw(st.sampled_from(sorted(plain)))
+        return {**plain, name: draw(spoiled(plain[name]))}
+    if isinstance(plain, list) and plain and draw(st.booleans()):
+        return [draw(spoiled(plain[0])), *plain[1:]]
+    return draw(ODD)
+
+
+@st.composite
+def bodies(draw: st.DrawFn, document: str) -> bytes:
+    """Give bytes, a spoiled document or one that was cut short."""
+    if draw(st.integers(0, 4)) == 0:
+        return draw(st.binary(max_size=40))
+    text = json.dumps(draw(spoiled(json.loads(document)))).encode()
+    if draw(st.integers(0, 4)) == 0:
+        return text[: draw(st.integers(0, len(text)))]
+    return text
+
+
+MANY = settings(derandomize=True, max_examples=400, deadline=None)
+
+
+class TestBodies:
+    """No body raises anything but the type that says so."""
+
+    @MANY
+    @given(body=bodies(JOB))
+    def test_job(self, body: bytes) -> None:
+        with suppress(BadJob, UnsupportedJob):
+            job = decode_job(body, key=JobKey('5c0e7a21d94b36f8'), queue='q')
+            assert 0 < sum(step.count for step in job.steps) <= 4096
+
+    @MANY
+    @given(body=bodies(STATE))
+    def test_desired_state(self, body: bytes) -> None:
+        with suppress(InvalidState):
+            canonical = canonical_body(body)
+            assert decode_state(canonical).version > 0
+
+    @MANY
+    @given(body=bodies(BEAT))
+    def test_heartbeat(self, body: bytes) -> None:
+        with suppress(BadReport):
+            decode_heartbeat('w', body)
+
+    @MANY
+    @given(body=bodies(VIEW))
+    def test_answers_of_endpoints(self, body: bytes) -> None:
+        assert decode_refusal(body) in Refusal
+        for decode in (decode_view, decode_clock):
+            with suppress(msgspec.DecodeError):
+                decode(body)
+
+    @MANY
+    @given(text=bodies(FILE))
+    def test_settings(self, text: bytes) -> None:
+        # What a TOML file can hold: no halves of characters.
+        with suppress(ValueError):
+            plain = json.loads(text.replace(b'ud800', b'u0800'))
+            with suppress(BadSettings):
+                decode_settings(plain)
+
+
+class TestFrames:
+    """No frame of a peer raises anything but `BadFrame`."""
+
+    @MANY
+    @given(frame=st.binary(max_size=60))
+    def test_bytes(self, frame: bytes) -> None:
+        with pytest.raises(wire.BadFrame):
+            wire.decode(frame)
