Wait for the last request before a draining entry closes

Change: the entry counts requests that it reads or answers, and closes once five looks in a row, 50 ms apart, have found none, within the same grace.

Seen: tests/test_platform_front.py::TestDraining holds it: drained too early with one look.

--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -54,6 +54,12 @@
         self._role: EntryRole | None = None
         self._state = NO_STATE
         self._drains = False
+        self._requests = 0
+
+    @property
+    def requests(self) -> int:
+        """Requests of callers that have no answer yet."""
+        return self._requests
 
     @property
     def is_ready(self) -> bool:
@@ -100,7 +106,11 @@
         return web.Response(status=status)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        response = await self._answer(request)
+        self._requests += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self._requests -= 1
         if self._drains:
             response.force_close()
         return response
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -35,6 +35,10 @@
 _EXIT_BAD_SETTINGS: Final = 2
 #: The balancer asks each second, and takes an entry out after two misses.
 _OUT_OF_ROTATION_SECONDS: Final = 2.5
+#: Seconds between two looks for requests in progress, and how many in a row
+#: have to find none: longer than a request is on its way.
+_LOOK_SECONDS: Final = 0.05
+_QUIET_LOOKS: Final = 5
 #: Seconds of the grace that are left for closing down.
 _CLOSING_SECONDS: Final = 0.7
 #: Seconds that another instance takes to take over from a leaving one.
@@ -89,19 +93,26 @@
     await ended.wait()
     front.drain()
     role.leave()
-    await _drain(role, settings.grace - _CLOSING_SECONDS)
+    await _drain(front, settings.grace - _CLOSING_SECONDS)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
     await client.close()
 
 
-async def _drain(role: EntryRole, seconds: float) -> None:
-    """Wait until callers go elsewhere and no job is left."""
+async def _drain(front: Front, seconds: float) -> None:
+    """Wait until callers go elsewhere and no request is left.
+
+    A caller may use an open connection until it is closed, so that a last
+    request may come when all others have been answered.
+    """
+    quiet_looks = 0
     with suppress(TimeoutError):
         async with asyncio.timeout(seconds):
             await asyncio.sleep(_OUT_OF_ROTATION_SECONDS)
-            await role.wait_idle()
+            while quiet_looks < _QUIET_LOOKS:
+                await asyncio.sleep(_LOOK_SECONDS)
+                quiet_looks = 0 if front.requests else quiet_looks + 1
 
 
 async def serve_control(
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -109,11 +109,6 @@
         """Stand in for control instances no more; this entry is to end."""
         self._deputy.resign()
 
-    async def wait_idle(self) -> None:
-        """Wait until no caller waits for a job."""
-        while self._answers:
-            await asyncio.wait(tuple(self._answers.values()))
-
     async def run_job(
         self,
         request: JobRequest,
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,5 +1,6 @@
 """What callers and operators get over HTTP, with roles of our own."""
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 from typing import Any, cast
@@ -12,6 +13,7 @@
 from cuminstack.document import Value
 from cuminstack.fleet import Answer, Completed, Failure, MayHaveRun, NotRun
 from cuminstack.metrics import Exposition
+from cuminstack.platform import _program
 from cuminstack.platform._front import Front
 from cuminstack.platform._metrics import MetricsPage
 from cuminstack.pool import JobRequest, JobState, QueueTerms
@@ -44,6 +46,9 @@
         self.waiting = {'r': 3}
         self.is_ready = True
         self.dispatcher = None
+        self.is_asked = asyncio.Event()
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
 
     async def run_job(
         self,
@@ -53,6 +58,8 @@
         seconds: float,
     ) -> Answer:
         self.jobs.append((request, seconds))
+        self.is_asked.set()
+        await self.may_answer.wait()
         return self.answer
 
 
@@ -171,6 +178,33 @@
         assert not entry.role.jobs
 
 
+class TestDraining:
+    """The process was told to end, and callers still use it."""
+
+    async def test_last_request_is_waited_for(
+        self,
+        entry: _Scene,
+        callers: Callers,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(_program, '_OUT_OF_ROTATION_SECONDS', 0)
+        monkeypatch.setattr(_program, '_LOOK_SECONDS', 0.5)
+        monkeypatch.setattr(_program, '_QUIET_LOOKS', 2)
+        entry.obey()
+        entry.role.may_answer.clear()
+        drained = asyncio.create_task(_program._drain(entry.front, 60))
+        # It comes when none is in progress any more.
+        request = asyncio.create_task(callers.submit())
+        await entry.role.is_asked.wait()
+        await asyncio.wait((drained,), timeout=2)
+        assert not drained.done()
+        entry.role.may_answer.set()
+        status, _, _ = await request
+        assert status == 200
+        await drained
+        assert not entry.front.requests
+
+
 class TestQuestions:
     """What else a caller or a monitor may ask."""
 
