Take no job that was held up on its way, and never run one that was refused

An entry was cut off from 27.0 to 32.5. Its job of 27.23 was handed over on the old link, and on a new one after the cut; it was refused at 32.88 and its caller told so. At 33.37 the old link's copy arrived, and was started as if it had just been submitted.

Change: a hand-over that carries a stamp older than the entry's lease is not taken; what one entry knew of runs elsewhere stays true for the next; a job that was refused is refused again to whoever had it before that.

Seen: tests/test_fleet.py (held up hand-over) and tests/test_pool.py:: TestTwoEntries failed before and pass.

--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -77,6 +77,10 @@
             now: The present time.
         """
         key = submit.request.key
+        if now >= submit.stamp + ENTRY_LEASE_SECONDS:
+            # Held up on its way; it may have been answered since.  An entry
+            # that still has the job hands it over again.
+            return (Noted('job.handed_over_late', (('key', key),)),)
         self._hear(entry, submit.stamp)
         self._jobs.setdefault(entry, set()).add(key)
         submission = Submission(
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -31,6 +31,7 @@
     Fenced,
     Hold,
     JobEnded,
+    JobRefused,
     JobState,
     Refusal,
     StartRun,
@@ -162,8 +163,9 @@
         job = self._jobs.resume(submission)
         if job is None:
             job = self._jobs.make(submission)
-            refusal = refusal_of(job, self._load_of(job), now=now)
-            if refusal is not None and not job.may_have_run:
+            refusal = self._refusal_of(job, now)
+            if refusal is not None:
+                self._jobs.refuse(key, now=now)
                 return (refusal, note_refusal(refusal, job, now=now))
             self._jobs.add(job)
         self._runs.claim(job, now=now)
@@ -301,6 +303,13 @@
         effects.extend(self._assigner.assign(now=now))
         return tuple(effects)
 
+    def _refusal_of(self, job: Job, now: float) -> JobRefused | None:
+        """Give the refusal of a job that is not known here."""
+        load = self._load_of(job)
+        if self._jobs.was_refused(job.submission):
+            return refusal_of_waiting(job, load, now=now)
+        return None if job.may_have_run else refusal_of(job, load, now=now)
+
     def _load_of(self, job: Job) -> Load:
         endpoints = self._assigner.pool_of(job.terms.service)
         return Load(endpoints, self._jobs.live, self._order)
@@ -311,6 +320,7 @@
                 refusal = refusal_of_waiting(job, self._load_of(job), now=now)
                 self._jobs.abandon(job, now=now)
                 self._jobs.settle(job)
+                self._jobs.refuse(job.submission.request.key, now=now)
                 yield refusal
                 yield note_refusal(refusal, job, now=now)
 
--- a/src/cuminstack/pool/_job_table.py
+++ b/src/cuminstack/pool/_job_table.py
@@ -1,5 +1,7 @@
 """The jobs of a dispatcher, from submission until they are forgotten."""
 
+from dataclasses import replace
+from itertools import islice
 from typing import Final
 
 from cuminstack.core import JobKey
@@ -14,6 +16,8 @@
 #: Seconds that an ended job is remembered for.  A caller sends again after
 #: 1.3 s, to an entry that may need as long again to find the dispatcher.
 _MEMORY_SECONDS: Final = 10.0
+#: Jobs that one sweep looks at; sweeps come 50 times a second.
+_SWEPT_JOBS: Final = 100
 #: Run numbers that one term of a dispatcher may use for a task.
 _NUMBERS_OF_TERM: Final = 1000
 
@@ -29,6 +33,7 @@
         self._first_number = (term - 1) * _NUMBERS_OF_TERM
         self._jobs: dict[JobKey, Job] = {}
         self._ended: dict[JobKey, tuple[float, JobState | None, int]] = {}
+        self._refused: dict[JobKey, float] = {}
         self._times = RunTimes()
         self._live: tuple[Job, ...] | None = None
 
@@ -58,11 +63,34 @@
         ended = self._ended.get(key)
         return None if ended is None else ended[1]
 
+    def was_refused(self, submission: Submission) -> bool:
+        """Tell whether a job was refused after its caller submitted it.
+
+        Another entry had it, too, and has said that it never runs.  Only a
+        caller that submits it again, later, may have it run.
+        """
+        refused_at = self._refused.get(submission.request.key)
+        return refused_at is not None and submission.arrived_at <= refused_at
+
+    def refuse(self, key: JobKey, *, now: float) -> None:
+        """Remember that a caller is told that a job never runs."""
+        self._refused.pop(key, None)
+        self._refused[key] = now
+
     def resume(self, submission: Submission) -> Job | None:
-        """Give a job that is known the new entry and deadline."""
+        """Give a job that is known the new entry and deadline.
+
+        What another entry knew of runs elsewhere stays true.
+        """
         job = self._jobs.get(submission.request.key)
         if job is not None:
-            job.submission = submission
+            before = job.submission
+            job.submission = replace(
+                submission,
+                held_until=max(before.held_until, submission.held_until),
+                is_resumed=before.is_resumed or submission.is_resumed,
+                is_blind=before.is_blind or submission.is_blind,
+            )
             job.abandoned = False
             self._live = None
         return job
@@ -110,12 +138,13 @@
 
     def sweep(self, *, now: float) -> None:
         """Forget what ended long ago."""
-        while self._ended:
-            # The oldest come first.
-            key, ended = next(iter(self._ended.items()))
-            if now - ended[0] <= _MEMORY_SECONDS:
-                return
-            self._ended.pop(key)
+        # The oldest come first.
+        for key, ended in tuple(islice(self._ended.items(), _SWEPT_JOBS)):
+            if now - ended[0] > _MEMORY_SECONDS:
+                self._ended.pop(key)
+        for refused, since in tuple(islice(self._refused.items(), _SWEPT_JOBS)):
+            if now - since > _MEMORY_SECONDS:
+                self._refused.pop(refused)
 
     def _remember(self, job: Job, state: JobState | None, now: float) -> None:
         self._live = None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -344,6 +344,16 @@
         )
         return desk.submit(ENTRY, submit, is_warm=True, now=10)
 
+    def test_held_up_hand_over_is_not_taken(self) -> None:
+        # Sent over a link that was cut, and delivered when the cut healed:
+        # the entry may have told its caller since that the job was refused.
+        desk = self._desk()
+        desk.hear(ENTRY, EntryBeat(16, 1, ONE, ()), now=16)
+        submit = Submit(REQUEST, TERMS, 0, 2, stamp=10, resumed=True)
+        effects = desk.submit(ENTRY, submit, is_warm=True, now=16)
+        assert not any(isinstance(effect, Send) for effect in effects)
+        assert not desk.dispatcher.knows(KEY)
+
     def test_no_endpoint_is_refused_at_once(self) -> None:
         (send, _) = self._submit(self._desk(), resumed=False)
         assert isinstance(send, Send)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -35,6 +35,10 @@
     )
 
 
+def _spans_of(world: PoolWorld, key: str) -> list[object]:
+    return [span for span in world.spans if span.run.task.job == key]
+
+
 class TestCalm:
     """Without faults."""
 
@@ -296,6 +300,46 @@
         assert _ended(world) >= 2
 
 
+class TestTwoEntries:
+    """A caller came to one entry, and to another before the first knew."""
+
+    def _full(self) -> PoolWorld:
+        world = PoolWorld(workers=1)
+        for number in range(2):
+            world.submit(JobPlan(f'long{number}', 1, 3, patience=60))
+        return world
+
+    def test_refused_job_never_runs(self) -> None:
+        world = self._full()
+        job = JobPlan('job', 2, 0.2, patience=1)
+        world.submit(job)
+        world.run_for(2)
+        assert world.results['job'].state is None
+        # The first entry still has it, and hands it over once more.
+        world.run_for(3)
+        world.submit(job, held=0.01)
+        world.run_for(2)
+        assert not _spans_of(world, 'job')
+
+    def test_refused_job_may_be_submitted_anew(self) -> None:
+        world = self._full()
+        job = JobPlan('job', 2, 0.2, patience=1)
+        world.submit(job)
+        world.run_for(5)
+        world.submitted.pop('job')
+        world.submit(job)
+        world.run_for(2)
+        assert len(_spans_of(world, 'job')) == 2
+
+    def test_job_that_may_run_is_not_refused(self) -> None:
+        world = self._full()
+        job = JobPlan('job', 2, 0.2, patience=1)
+        world.submit(job, held=0.5)
+        world.submit(job)
+        world.run_for(2)
+        assert 'job' not in world.results
+
+
 class TestFullPool:
     """A convoy of waiting jobs costs nothing while there is no room.
 
