Count an entry as in touch only since it was heard again

As a cut healed, the dispatcher of the cut side resigned and its entries handed their jobs to the other one, which started tasks at once though they may have been running for a lease. After the cut, its jobs came before its first heartbeat, and the time of the touch before the cut was counted on.

Change: an entry that was silent for longer than the touch allows is not in touch, whatever came before. tests/test_roles.py::TestTouch holds it.

--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -103,6 +103,15 @@
             if now - heard_at < _TOUCH_SECONDS
         )
 
+    def touch_of(self, entry: InstanceId, *, now: float) -> float:
+        """Give the seconds for which an entry has been in touch.
+
+        After a cut its jobs may come before its first heartbeat.
+        """
+        if now - self._entries.get(entry, 0) > _TOUCH_SECONDS:
+            return 0
+        return now - self._met_at.get(entry, now)
+
     def weight(self, *, now: float) -> int:
         """Count the instances that this one is in touch with."""
         entries = 0
@@ -218,8 +227,8 @@
         submit: Submit,
         now: float,
     ) -> None:
-        touch = now - self._met_at.get(entry, now)
-        lead.submit(entry, submit, is_warm=touch > _WARM_SECONDS, now=now)
+        is_warm = self.touch_of(entry, now=now) > _WARM_SECONDS
+        lead.submit(entry, submit, is_warm=is_warm, now=now)
 
     def _hear_entry(
         self,
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import cast
 
 import cbor2
 import pytest
@@ -12,7 +13,8 @@
 from bench.pool import SERVICE, FakeWorker
 
 from cuminstack.core import InstanceId, JobKey
-from cuminstack.fleet import Answer, Completed
+from cuminstack.fleet import Answer, Completed, Election, EntryBeat
+from cuminstack.links import Mesh
 from cuminstack.pool import (
     EndpointView,
     Hold,
@@ -27,6 +29,7 @@
     StopRun,
 )
 from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
+from cuminstack.roles._candidate import Candidate
 from cuminstack.roles._memory import EndpointMemory, TermMemory
 from cuminstack.store import DurableFile
 
@@ -166,6 +169,33 @@
             assert fleet.control.term >= before + 2
 
 
+class _NoMesh:
+    """Links to nobody."""
+
+    def meet(self, peers: object) -> None:
+        """Keep no link."""
+
+
+class TestTouch:
+    """How long a dispatcher has been in touch with an entry."""
+
+    def test_jobs_may_come_first_after_a_cut(self) -> None:
+        own, entry = InstanceId('c1'), InstanceId('e1')
+        candidate = Candidate(
+            own,
+            election=Election(own, now=100),
+            order='useful-first',
+            client=_Orders(FakeWorker('w0', 16000, rate=1)),
+            mesh=cast(Mesh, _NoMesh()),
+        )
+        for second in range(100, 111):
+            beat = EntryBeat(second, 1, own)
+            candidate.receive(entry, beat, now=second)
+        assert round(candidate.touch_of(entry, now=110.5)) == 10
+        # Silent for five seconds, and no heartbeat yet.
+        assert not candidate.touch_of(entry, now=115)
+
+
 @pytest.mark.asyncio
 class TestMemory:
     """What a control instance remembers over a restart."""
