--- a/bench/pool/__main__.py
+++ b/bench/pool/__main__.py
@@ -79,9 +79,9 @@
         f'network; {SECONDS:.0f} s of wide jobs of short tasks, jobs of long',
         f'tasks and narrow ones; means of {_SEEDS} seeds. Value earned against',
         'value owed: an answer in time counts whole, a late one a fifth, up to',
-        'three times its objective. The bound fills the room of the run and after',
-        'it with what is worth the most for its work, without the fault and',
-        f'without losing any room. In use: `{_CHOSEN}`.',
+        'three times its objective. The bound fills the room of the run and',
+        'after it with what is worth the most for its work, without the fault',
+        f'and without losing any room. In use: `{_CHOSEN}`.',
         '',
         '![value earned by load](pool.png)',
     ]
