Log when an entry begins to drain, and what it breaks off

The log had no line between SIGTERM and instance.ended, and a request that was broken off stood there as if its caller had left (job.caller_left), so the hypotheses could not be told apart. Now instance.draining and instance.drained say how many requests were in progress and for how long the entry waited: one that is broken off at the limit shows as requests above 0 and seconds at the limit (hypothesis 1), one that comes after a look that came too early as 0 and less than the limit (2), and a lost job has no job.* line at its dispatcher (3). Seen: tests/test_platform_front.py passes.

--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -29,7 +29,7 @@
     load_settings,
 )
 from cuminstack.platform._worker_client import WorkerClient
-from cuminstack.roles import ControlRole, EntryRole
+from cuminstack.roles import ControlRole, EntryRole, steady_now
 from cuminstack.settings import Address, LogLevel
 
 _EXIT_BAD_SETTINGS: Final = 2
@@ -45,6 +45,8 @@
 _HANDOVER_SECONDS: Final = 0.5
 #: Seconds that requests in progress may take once no job is left.
 _SHUTDOWN_SECONDS: Final = 0.2
+#: Digits of seconds after the point, in the log.
+_DIGITS: Final = 3
 
 
 async def _listen(
@@ -93,13 +95,30 @@
     await ended.wait()
     front.drain()
     role.leave()
-    await _drain(front, settings.grace - _CLOSING_SECONDS)
+    await _drain_logged(front, settings.grace - _CLOSING_SECONDS)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
     await client.close()
 
 
+async def _drain_logged(front: Front, seconds: float) -> None:
+    log_event(
+        'instance.draining',
+        requests=front.requests,
+        seconds=round(seconds, _DIGITS),
+    )
+    began_at = steady_now()
+    await _drain(front, seconds)
+    log_event(
+        'instance.drained',
+        LogLevel.error if front.requests else LogLevel.info,
+        # Those are broken off without an answer.
+        requests=front.requests,
+        seconds=round(steady_now() - began_at, _DIGITS),
+    )
+
+
 async def _drain(front: Front, seconds: float) -> None:
     """Wait until callers go elsewhere and no request is left.
 
