Show that a draining entry breaks off the jobs that it takes

Over real links and HTTP, an entry with a grace of 3 s is told to end while a job runs: its caller gets a closed connection and no answer (ServerDisconnectedError), as in the users' record; and a job that comes after that is handed over with the 60 s that its caller would wait.

--- /dev/null
+++ b/tests/test_platform_drain.py
@@ -0,0 +1,177 @@
+"""An entry that was told to end, with a dispatcher of our own."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+import pytest
+from bench._polling import until
+from bench._ports import LOOPBACK, free_ports
+
+from cuminstack.core import InstanceId, JobKey
+from cuminstack.document import Chosen, Value
+from cuminstack.document._records import Ballot
+from cuminstack.fleet import Ended, EntryBeat, LeaderBeat, Submit, Taken
+from cuminstack.links import Mesh
+from cuminstack.metrics import Exposition
+from cuminstack.platform._program import serve_entry
+from cuminstack.platform._settings import PlatformSettings
+from cuminstack.pool import JobState
+from cuminstack.roles import RoleSettings, steady_now
+from cuminstack.settings import Address
+
+PATIENCE = 30
+BALLOT = Ballot(1, InstanceId('c'))
+GRACE = 3.0
+KEYS = ('5c0e7a21d94b36f8', '5c0e7a21d94b36f9')
+JOB = """{
+    "bestEffort": true, "spec": "s",
+    "steps": [{"count": 1, "cpu": 1000, "memMb": 64, "estRuntimeMs": 900}]
+}"""
+STATE = b"""{
+    "version": 7, "services": [{"name": "s"}], "limits": {},
+    "routes": [{
+        "name": "r", "host": "h.example", "pathPrefix": "/q/",
+        "timeoutMs": 60000, "service": "s"
+    }]
+}"""
+
+pytestmark = pytest.mark.asyncio
+
+
+class _Dispatcher:
+    """Takes all jobs, and ends those that the test says."""
+
+    def __init__(self, own: InstanceId) -> None:
+        self.own = own
+        self.submits: list[Submit] = []
+        self.mesh = Mesh(
+            own,
+            incarnation=1,
+            receive=self._receive,
+            reject=lambda sender, error: None,
+        )
+
+    def end(self, entry: InstanceId, key: str) -> None:
+        self.mesh.send(entry, Ended(JobKey(key), JobState.completed))
+
+    def _receive(self, entry: InstanceId, message: Any) -> None:
+        self.mesh.meet((entry,))
+        match message:
+            case EntryBeat():
+                self._beat(entry)
+            case Submit():
+                self.submits.append(message)
+                self.mesh.send(entry, Taken(message.request.key))
+
+    def _beat(self, entry: InstanceId) -> None:
+        beat = LeaderBeat(1, steady_now(), (self.own,), {})
+        self.mesh.send(entry, beat)
+        self.mesh.send(entry, Chosen(BALLOT, Value(7, STATE, ())))
+
+
+class _Scene:
+    """An entry, its dispatcher and a caller that keeps its connections."""
+
+    def __init__(self) -> None:
+        peers = free_ports(4)
+        own, control = (InstanceId(f'{LOOPBACK}:{port}') for port in peers[:2])
+        self.entry = own
+        self.dispatcher = _Dispatcher(control)
+        self.told_to_end = asyncio.Event()
+        self._callers = Address(LOOPBACK, peers[2])
+        self._readiness = Address(LOOPBACK, peers[3])
+        self._settings = PlatformSettings(
+            role=RoleSettings(
+                own=own,
+                zone='zone',
+                controls=(control,),
+                first_start=True,
+                tolerated=0,
+                data_folder=None,
+                order='useful-first',
+            ),
+            host=LOOPBACK,
+            callers=self._callers,
+            readiness=self._readiness,
+            control=None,
+            grace=GRACE,
+        )
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[aiohttp.ClientSession]:
+        await self.dispatcher.mesh.start()
+        program = asyncio.create_task(
+            serve_entry(self._settings, Exposition(), self.told_to_end),
+        )
+        async with aiohttp.ClientSession() as session:
+            await until(lambda: self._is_ready(session), seconds=PATIENCE)
+            yield session
+            self.told_to_end.set()
+            await program
+        await self.dispatcher.mesh.stop()
+
+    async def submit(
+        self,
+        session: aiohttp.ClientSession,
+        key: str,
+    ) -> int:
+        headers = {'Host': 'h.example', 'X-Deadline-Ms': '60000'}
+        url = f'http://{self._callers}/q/{key}'
+        async with session.post(url, data=JOB, headers=headers) as response:
+            await response.read()
+            return response.status
+
+    async def submitted(self, count: int) -> None:
+        async def has_come() -> bool:
+            return len(self.dispatcher.submits) >= count
+
+        await until(has_come, seconds=PATIENCE)
+
+    async def drains(self, session: aiohttp.ClientSession) -> None:
+        async def is_told() -> bool:
+            return not await self._is_ready(session)
+
+        await until(is_told, seconds=PATIENCE)
+
+    async def _is_ready(self, session: aiohttp.ClientSession) -> bool:
+        url = f'http://{self._readiness}/api/readiness'
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+class TestLateRequests:
+    """Callers use open connections until the process is gone."""
+
+    # Guards against a connection that closes without an answer, as the grace
+    # ended while the job was still running.
+    async def test_running_job_is_answered(self) -> None:
+        scene = _Scene()
+        async with scene.run() as session:
+            request = asyncio.create_task(scene.submit(session, KEYS[0]))
+            await scene.submitted(1)
+            scene.told_to_end.set()
+            assert await request == 504
+
+    # Guards against jobs that are taken though they can't end before the
+    # process does: the dispatcher can refuse only what it is told of.
+    async def test_job_is_handed_over_with_time_left(self) -> None:
+        scene = _Scene()
+        async with scene.run() as session:
+            earlier = asyncio.create_task(scene.submit(session, KEYS[0]))
+            await scene.submitted(1)
+            scene.told_to_end.set()
+            await scene.drains(session)
+            later = asyncio.create_task(scene.submit(session, KEYS[1]))
+            await scene.submitted(2)
+            scene.dispatcher.end(scene.entry, KEYS[0])
+            scene.dispatcher.end(scene.entry, KEYS[1])
+            assert (await earlier, await later) == (200, 200)
+            first, second = scene.dispatcher.submits
+            assert first.remaining > GRACE
+            assert second.remaining < GRACE
