Answer every job of a draining entry before it ends

Cause: an entry took whatever came until the end of its grace, with the caller's own deadline, and at the limit of the drain the HTTP server cancelled the handlers of what was still running. Nothing related the time that a job needs to the time that the entry has left, and nothing answered what was left over.

Change: an entry that is told to end caps the deadline of each job by the time at which it answers the last one, 0.3 s before it closes. The dispatcher gets the capped deadline, so it refuses at once, as not run, what its learned run times and queue say can't end by then. What is unanswered at that time is told that it may have run (504), so that its caller asks elsewhere.

Why this works: no job has a deadline after the last answers, deadlines are kept by the entry itself each 0.1 s, and only then does the listener close.

--- a/src/cuminstack/fleet/_answers.py
+++ b/src/cuminstack/fleet/_answers.py
@@ -13,6 +13,7 @@
     deadline = 'deadline'
     no_dispatcher = 'no_dispatcher'
     interrupted = 'interrupted'
+    leaving = 'leaving'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -1,5 +1,6 @@
 """The jobs of an entry's callers, and the dispatcher that has them."""
 
+import math
 from collections.abc import Iterator
 from typing import Final
 
@@ -38,6 +39,8 @@
 #: How long a job waits for a dispatcher to be chosen before it is refused.
 #: A takeover takes about half of this.
 LEADERLESS_SECONDS: Final = 1.0
+#: When a caller of an entry that ends may come back, to another one.
+_ELSEWHERE_SECONDS: Final = 1.0
 
 
 Effect = Send | Answered
@@ -60,6 +63,7 @@
         self._rivals: set[InstanceId] = set()
         self._heard_at = now
         self._stamps: dict[InstanceId, float] = {}
+        self._answers_until = math.inf
 
     @property
     def leader(self) -> InstanceId | None:
@@ -86,10 +90,14 @@
         now: float,
     ) -> Effects:
         """Take a job of a caller; one that is known goes on."""
+        deadline = min(deadline, self._answers_until)
         known = self._pending.get(request.key)
         if known is not None:
             known.deadline = max(known.deadline, deadline)
             return ()
+        if now >= self._answers_until:
+            refusal = NotRun(Failure.leaving.value, _ELSEWHERE_SECONDS)
+            return (Answered(request.key, refusal),)
         lost_for = now - self._heard_at
         if lost_for > LEADERLESS_SECONDS:
             refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
@@ -98,6 +106,20 @@
         self._pending[request.key] = pending
         return self._send(pending, now)
 
+    def leave(self, *, answers_until: float) -> None:
+        """Have each job answered before this entry ends.
+
+        The dispatcher is told of the time that is left, and so refuses at
+        once what takes longer.
+
+        Args:
+            answers_until: When the last job is answered, whatever became
+                of it.
+        """
+        self._answers_until = answers_until
+        for pending in self._pending.values():
+            pending.deadline = min(pending.deadline, answers_until)
+
     def drop(self, key: JobKey) -> Effects:
         """Take that the caller of a job has left."""
         pending = self._pending.pop(key, None)
@@ -184,10 +206,12 @@
         return (*effects, *self._resend(now))
 
     def _expire(self, key: JobKey, pending: PendingJob) -> Effects:
+        leaves = pending.deadline >= self._answers_until
+        failure = Failure.leaving if leaves else Failure.deadline
         if not pending.was_sent:
-            refusal = NotRun(Failure.deadline.value, LEADERLESS_SECONDS)
+            refusal = NotRun(failure.value, LEADERLESS_SECONDS)
             return self._answer(key, refusal)
-        answer = MayHaveRun(Failure.deadline)
+        answer = MayHaveRun(failure)
         dropped = self.drop(key)
         return (*dropped, Answered(key, answer))
 
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -216,11 +216,11 @@
         case NotRun():
             return _not_run(answer.reason, answer.retry_after)
         case MayHaveRun():
-            is_late = answer.failure is Failure.deadline
+            is_interrupted = answer.failure is Failure.interrupted
             status = (
-                HTTPStatus.GATEWAY_TIMEOUT
-                if is_late
-                else HTTPStatus.BAD_GATEWAY
+                HTTPStatus.BAD_GATEWAY
+                if is_interrupted
+                else HTTPStatus.GATEWAY_TIMEOUT
             )
             return web.json_response(
                 _reason(answer.failure.value), status=status
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -41,6 +41,9 @@
 _QUIET_LOOKS: Final = 5
 #: Seconds of the grace that are left for closing down.
 _CLOSING_SECONDS: Final = 0.7
+#: Seconds between the last answers to jobs and closing down: an entry looks
+#: for those that are due each 0.1 s, and may be late.
+_LAST_ANSWERS_SECONDS: Final = 0.3
 #: Seconds that another instance takes to take over from a leaving one.
 _HANDOVER_SECONDS: Final = 0.5
 #: Seconds that requests in progress may take once no job is left.
@@ -94,8 +97,9 @@
     )
     await ended.wait()
     front.drain()
-    role.leave()
-    await _drain_logged(front, settings.grace - _CLOSING_SECONDS)
+    seconds = settings.grace - _CLOSING_SECONDS
+    role.leave(seconds=seconds - _LAST_ANSWERS_SECONDS)
+    await _drain_logged(front, seconds)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -99,9 +99,16 @@
         self._deputy.resign()
         await self._mesh.stop()
 
-    def leave(self) -> None:
-        """Stand in for control instances no more; this entry is to end."""
+    def leave(self, *, seconds: float) -> None:
+        """Take that this entry is to end.
+
+        It stands in for control instances no more.
+
+        Args:
+            seconds: Time within which every job has its answer.
+        """
         self._deputy.resign()
+        self._desk.leave(answers_until=steady_now() + seconds)
 
     async def run_job(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,7 @@
     Ended,
     EntryBeat,
     EntryDesk,
+    Failure,
     JobDesk,
     LeaderBeat,
     MayHaveRun,
@@ -326,6 +327,46 @@
             assert isinstance(effect.answer, NotRun)
 
 
+class TestLeavingEntry:
+    """The entry was told to end, and its callers still wait."""
+
+    # Guards against jobs that an entry takes and gives up without an answer
+    # when it ends.
+    def test_running_job_is_answered(self) -> None:
+        desk = EntryDesk(now=0)
+        desk.hear_leader(ONE, LeaderBeat(1, 5, (), {}), now=0)
+        desk.submit(REQUEST, TERMS, deadline=60, now=0)
+        desk.receive(ONE, Taken(KEY), now=0)
+        desk.leave(answers_until=0.3)
+        assert not desk.tick(now=0.2)
+        dropped, answered = desk.tick(now=0.3)
+        assert dropped == Send(ONE, Dropped(KEY))
+        assert answered == Answered(KEY, MayHaveRun(Failure.leaving))
+
+    def test_job_that_never_left_is_not_run(self) -> None:
+        desk = EntryDesk(now=0)
+        desk.submit(REQUEST, TERMS, deadline=60, now=0)
+        desk.leave(answers_until=0.3)
+        answer = _only(desk.tick(now=0.3)).answer
+        assert isinstance(answer, NotRun)
+        assert answer.reason == Failure.leaving.value
+
+    def test_late_job_is_handed_over_with_time_left(self) -> None:
+        desk = EntryDesk(now=0)
+        desk.hear_leader(ONE, LeaderBeat(1, 5, (), {}), now=0)
+        desk.leave(answers_until=0.3)
+        sent = _only(desk.submit(REQUEST, TERMS, deadline=60, now=0.1))
+        assert round(sent.message.remaining, 3) == 0.2
+
+    def test_job_without_time_left_is_refused_at_once(self) -> None:
+        desk = EntryDesk(now=0)
+        desk.hear_leader(ONE, LeaderBeat(1, 5, (), {}), now=0)
+        desk.leave(answers_until=0.3)
+        refused = _only(desk.submit(REQUEST, TERMS, deadline=60, now=0.3))
+        assert isinstance(refused.answer, NotRun)
+        assert not desk.waiting
+
+
 class TestJobDesk:
     """The dispatcher's side of a job."""
 
