Let a leaving control instance answer the orders in progress

What operators saw: an order sent just before a control instance is told to end could get a closed connection and no answer.

Evidence: tests/test_platform_drain.py::TestLateOperators failed before (ServerDisconnectedError), with two of three replicas missing.

Change: requests in progress are waited for as long as an order may take, within the grace. Listening ends and idle connections close at once, as before.

--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -44,7 +44,7 @@
 #: about 10 ms, and 25 times that on a slow disk.
 _RESEND_SECONDS: Final = 0.3
 #: Seconds after which an operator is told that there is no quorum.
-_GIVE_UP_SECONDS: Final = 2.5
+GIVE_UP_SECONDS: Final = 2.5
 #: Longest pause of a proposer after a higher ballot, in seconds: two syncs.
 _YIELD_SECONDS: Final = 0.06
 
@@ -166,7 +166,7 @@
         known = self._settled(change)
         if known is not None:
             return (Done(ticket, known),)
-        operation = Operation(ticket, change, now + _GIVE_UP_SECONDS)
+        operation = Operation(ticket, change, now + GIVE_UP_SECONDS)
         self._operations.append(operation)
         return self.tick(now=now)
 
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from fire.decorators import SetParseFns
 
+from cuminstack.document import GIVE_UP_SECONDS
 from cuminstack.logs import log_event, log_to_standard_output
 from cuminstack.metrics import Exposition
 from cuminstack.platform._front import Front
@@ -46,6 +47,8 @@
 _LAST_ANSWERS_SECONDS: Final = 0.3
 #: Seconds that another instance takes to take over from a leaving one.
 _HANDOVER_SECONDS: Final = 0.5
+#: Seconds within which an order of an operator has its answer.
+_OPERATION_SECONDS: Final = GIVE_UP_SECONDS + 0.1
 #: Seconds that requests in progress may take once no job is left.
 _SHUTDOWN_SECONDS: Final = 0.2
 #: Digits of seconds after the point, in the log.
@@ -57,6 +60,7 @@
     address: Address,
     *,
     cancels: bool = False,
+    shutdown_seconds: float = _SHUTDOWN_SECONDS,
 ) -> web.AppRunner:
     """Serve an application.
 
@@ -64,12 +68,14 @@
         app: The application.
         address: Where.
         cancels: Whether a handler is cancelled when its caller leaves.
+        shutdown_seconds: How long requests in progress are waited for, at
+            most twice.
     """
     runner = web.AppRunner(
         app,
         access_log=None,
         handler_cancellation=cancels,
-        shutdown_timeout=_SHUTDOWN_SECONDS,
+        shutdown_timeout=shutdown_seconds,
     )
     await runner.setup()
     await web.TCPSite(runner, address.host, address.port).start()
@@ -151,7 +157,14 @@
     role = ControlRole(settings.role, client=client)
     show_control(exposition, settings.role.own, role)
     await role.start()
-    runner = await _listen(ControlFront(role).make_app(), settings.control)
+    runner = await _listen(
+        ControlFront(role).make_app(),
+        settings.control,
+        shutdown_seconds=min(
+            _OPERATION_SECONDS,
+            (settings.grace - _HANDOVER_SECONDS) / 2,
+        ),
+    )
     await ended.wait()
     role.leave()
     await asyncio.sleep(_HANDOVER_SECONDS)
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -11,15 +12,14 @@
 from bench._ports import LOOPBACK, free_ports
 
 from cuminstack.core import InstanceId, JobKey
-from cuminstack.document import Chosen, Value
-from cuminstack.document._records import Ballot
+from cuminstack.document import Ballot, Chosen, Outcome, Value
 from cuminstack.fleet import Ended, EntryBeat, LeaderBeat, Submit, Taken
 from cuminstack.links import Mesh
 from cuminstack.metrics import Exposition
-from cuminstack.platform._program import serve_entry
+from cuminstack.platform._program import serve_control, serve_entry
 from cuminstack.platform._settings import PlatformSettings
 from cuminstack.pool import JobState
-from cuminstack.roles import RoleSettings, steady_now
+from cuminstack.roles import ControlRole, RoleSettings, steady_now
 from cuminstack.settings import Address
 
 PATIENCE = 30
@@ -175,3 +175,67 @@
             first, second = scene.dispatcher.submits
             assert first.remaining > GRACE
             assert second.remaining < GRACE
+
+
+class TestLateOperators:
+    """An operator's order is in progress as a control instance ends."""
+
+    # Guards against an order that gets no answer, as the instance closed
+    # its connections sooner than an order may take.
+    async def test_order_in_progress_is_answered(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        tmp_path: Path,
+    ) -> None:
+        has_come = asyncio.Event()
+        submit = ControlRole.submit
+
+        async def submit_noted(
+            role: ControlRole, version: int, body: bytes
+        ) -> Outcome:
+            has_come.set()
+            return await submit(role, version, body)
+
+        monkeypatch.setattr(ControlRole, 'submit', submit_noted)
+        peers = free_ports(4)
+        control = Address(LOOPBACK, peers[3])
+        # Two of three replicas are not there, so no order comes into force.
+        replicas = tuple(InstanceId(f'{LOOPBACK}:{port}') for port in peers[:3])
+        settings = PlatformSettings(
+            role=RoleSettings(
+                own=replicas[0],
+                zone='zone',
+                controls=replicas,
+                first_start=True,
+                tolerated=1,
+                data_folder=tmp_path,
+                order='useful-first',
+            ),
+            host=LOOPBACK,
+            callers=None,
+            readiness=None,
+            control=control,
+            grace=6,
+        )
+        told_to_end = asyncio.Event()
+        program = asyncio.create_task(
+            serve_control(settings, Exposition(), told_to_end),
+        )
+        async with aiohttp.ClientSession() as session:
+            order = asyncio.create_task(_replace(session, control))
+            await has_come.wait()
+            told_to_end.set()
+            assert await order == 503
+        await program
+
+
+async def _replace(session: aiohttp.ClientSession, control: Address) -> int:
+    while True:
+        try:
+            async with session.post(
+                f'http://{control}/api/Config.Replace', data=STATE
+            ) as response:
+                return response.status
+        except aiohttp.ClientConnectorError:
+            # It does not listen yet.
+            await asyncio.sleep(0.05)
