Close idle connections of an entry that is out of rotation

Cause: only an answer ended a connection.

Seen: tests/test_platform_drain.py::TestLateRequests::test_idle_connection_is_closed fails without the change (the job on the other connection had ended first). A first form of the change used the HTTP server's pre_shutdown, which ends the handler of an idle connection and leaves it open; the test failed on it too.

--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -54,12 +54,12 @@
         self._role: EntryRole | None = None
         self._state = NO_STATE
         self._drains = False
-        self._requests = 0
+        self._busy: set[web.RequestHandler] = set()
 
     @property
     def requests(self) -> int:
         """Requests of callers that have no answer yet."""
-        return self._requests
+        return len(self._busy)
 
     @property
     def is_ready(self) -> bool:
@@ -88,6 +88,14 @@
         """Send callers elsewhere, but serve those that come."""
         self._drains = True
 
+    def close_idle(self, runner: web.AppRunner) -> None:
+        """Close the connections without a request; callers open new ones."""
+        server = runner.server
+        connections = () if server is None else server.connections
+        for connection in connections:
+            if connection not in self._busy:
+                connection.force_close()
+
     def make_app(self) -> web.Application:
         """Give the application that serves callers."""
         app = web.Application(client_max_size=0)
@@ -106,11 +114,12 @@
         return web.Response(status=status)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        self._requests += 1
+        connection = request.protocol
+        self._busy.add(connection)
         try:
             response = await self._answer(request)
         finally:
-            self._requests -= 1
+            self._busy.discard(connection)
         if self._drains:
             response.force_close()
         return response
