Take back: close idle connections of an entry that is out of rotation

A caller that is told 'not run' is served better than one that is told nothing, and nothing is gained.

--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -54,12 +54,12 @@
         self._role: EntryRole | None = None
         self._state = NO_STATE
         self._drains = False
-        self._busy: set[web.RequestHandler] = set()
+        self._requests = 0
 
     @property
     def requests(self) -> int:
         """Requests of callers that have no answer yet."""
-        return len(self._busy)
+        return self._requests
 
     @property
     def is_ready(self) -> bool:
@@ -88,14 +88,6 @@
         """Send callers elsewhere, but serve those that come."""
         self._drains = True
 
-    def close_idle(self, runner: web.AppRunner) -> None:
-        """Close the connections without a request; callers open new ones."""
-        server = runner.server
-        connections = () if server is None else server.connections
-        for connection in connections:
-            if connection not in self._busy:
-                connection.force_close()
-
     def make_app(self) -> web.Application:
         """Give the application that serves callers."""
         app = web.Application(client_max_size=0)
@@ -114,12 +106,11 @@
         return web.Response(status=status)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        connection = request.protocol
-        self._busy.add(connection)
+        self._requests += 1
         try:
             response = await self._answer(request)
         finally:
-            self._busy.discard(connection)
+            self._requests -= 1
         if self._drains:
             response.force_close()
         return response
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -4,9 +4,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
 from contextlib import suppress
-from functools import partial
 from types import MappingProxyType
 from typing import Final, NoReturn
 
@@ -107,29 +105,21 @@
     front.drain()
     seconds = settings.grace - _CLOSING_SECONDS
     role.leave(seconds=seconds - _LAST_ANSWERS_SECONDS)
-    await _drain_logged(front, runners[0], seconds)
+    await _drain_logged(front, seconds)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
     await client.close()
 
 
-async def _drain_logged(
-    front: Front,
-    runner: web.AppRunner,
-    seconds: float,
-) -> None:
+async def _drain_logged(front: Front, seconds: float) -> None:
     log_event(
         'instance.draining',
         requests=front.requests,
         seconds=round(seconds, _DIGITS),
     )
     began_at = steady_now()
-    await _drain(
-        front,
-        seconds,
-        close_idle=partial(front.close_idle, runner),
-    )
+    await _drain(front, seconds)
     log_event(
         'instance.drained',
         LogLevel.error if front.requests else LogLevel.info,
@@ -139,27 +129,16 @@
     )
 
 
-async def _drain(
-    front: Front,
-    seconds: float,
-    *,
-    close_idle: Callable[[], None],
-) -> None:
+async def _drain(front: Front, seconds: float) -> None:
     """Wait until callers go elsewhere and no request is left.
 
     A caller may use an open connection until it is closed, so that a last
     request may come when all others have been answered.
-
-    Args:
-        front: Counts the requests.
-        seconds: The longest wait.
-        close_idle: Called once new connections go to other instances.
     """
     quiet_looks = 0
     with suppress(TimeoutError):
         async with asyncio.timeout(seconds):
             await asyncio.sleep(_OUT_OF_ROTATION_SECONDS)
-            close_idle()
             while quiet_looks < _QUIET_LOOKS:
                 await asyncio.sleep(_LOOK_SECONDS)
                 quiet_looks = 0 if front.requests else quiet_looks + 1
