--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -20,7 +20,6 @@
     EntryBeat,
     LeaderBeat,
     Refused,
-    Submit,
     Taken,
     Unknown,
 )
@@ -278,15 +277,10 @@
         pending.sent_to = self._leader
         pending.sent_at = now
         pending.sent_term = self._term
-        submit = Submit(
-            request=pending.request,
-            terms=pending.terms,
-            waited=now - pending.arrived_at,
-            remaining=pending.deadline - now,
+        submit = pending.hand_over(
             stamp=self._stamps.get(self._leader, 0),
-            held=max(0, pending.may_run_until - now),
             from_rival=self._is_rival,
-            resumed=pending.may_have_run,
+            now=now,
         )
         return (Send(self._leader, submit),)
 
--- a/src/cuminstack/fleet/_pending.py
+++ b/src/cuminstack/fleet/_pending.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cuminstack.core import InstanceId
+from cuminstack.fleet._messages import Submit
 from cuminstack.pool import JobRequest, QueueTerms
 
 
@@ -38,3 +39,28 @@
     def was_sent(self) -> bool:
         """Whether a dispatcher may have it."""
         return self.sent_to is not None
+
+    def hand_over(
+        self,
+        *,
+        stamp: float,
+        from_rival: bool,
+        now: float,
+    ) -> Submit:
+        """Make the message that hands it to a dispatcher.
+
+        Args:
+            stamp: Newest stamp of that one.
+            from_rival: Whether the dispatcher before ran beside that one.
+            now: The present time.
+        """
+        return Submit(
+            request=self.request,
+            terms=self.terms,
+            waited=now - self.arrived_at,
+            remaining=self.deadline - now,
+            stamp=stamp,
+            held=max(0, self.may_run_until - now),
+            from_rival=from_rival,
+            resumed=self.may_have_run,
+        )
