Count at most an interval of a short pause of our own as peers' silence

What callers saw: of one job that is not idempotent, sent to all instances at once, one caller was told failed (holder-gone) and the others got the answers.

Cause: an instance that wakes from a pause may tick before it reads what came. A pause of up to the eager time-out counted whole as silence of the peers and as age of suspicions, so that a holder that was briefly paused, and had refuted its suspicion, was taken for gone; forwarded jobs ended at once. Idempotent jobs are leased anew and went on, as in the listed test.

Change: of a pause no longer than the eager time-out an interval counts, the rest is left out, as a longer pause is. What is left out never reaches beyond the present. An instance whose ticks are always late still notices deaths.

The listed red test stays listed: its failed run left no logs, so that nothing shows that this was the cause.

--- a/src/cuminstack/membership/_membership.py
+++ b/src/cuminstack/membership/_membership.py
@@ -142,15 +142,26 @@
     def _notice_pause(self, now: float) -> None:
         """Blame our own pauses, not the peers, for the silence in them."""
         started = self._ticked_at > _NEVER
-        pause = now - self._ticked_at
+        unheard = self._unheard(now - self._ticked_at)
         self._ticked_at = now
-        if started and pause > self._timing.eager:
-            self._rumours.forgive(pause)
+        if started and unheard:
+            self._rumours.forgive(unheard, now=now)
         for peer in self._neighbours.values():
             if not started:
                 peer.listen(now=now)
-            elif pause > self._timing.eager:
-                peer.forgive(pause)
+            elif unheard:
+                peer.forgive(unheard, now=now)
+
+    def _unheard(self, pause: float) -> float:
+        """Give how much of a pause between two ticks is no peer's silence.
+
+        What came in it may be unread yet, news that refutes a suspicion
+        included.  Of a short one an interval counts, so that an instance
+        whose ticks are always late still notices deaths.
+        """
+        if pause > self._timing.eager:
+            return pause
+        return max(pause - self._timing.interval, 0)
 
     def _accuse(self, now: float) -> Effects:
         """Publish suspicions of silent neighbours, once a patient spell."""
--- a/src/cuminstack/membership/_peer.py
+++ b/src/cuminstack/membership/_peer.py
@@ -72,10 +72,10 @@
         """Count silence from now, as nothing could be heard before."""
         self._heard_at = now
 
-    def forgive(self, pause: float) -> None:
+    def forgive(self, pause: float, *, now: float) -> None:
         """Leave a pause of our own out of all silence, in seconds."""
-        self._heard_at += pause
-        self._echoed_at += pause
+        self._heard_at = min(self._heard_at + pause, now)
+        self._echoed_at = min(self._echoed_at + pause, now)
 
     def silence(self, *, now: float) -> float:
         """Give the seconds since it was heard."""
--- a/src/cuminstack/membership/_rumours.py
+++ b/src/cuminstack/membership/_rumours.py
@@ -96,10 +96,10 @@
         """Give the seconds that a suspicion has stood; 0 if there is none."""
         return now - self._suspect_since.get(record.instance, now)
 
-    def forgive(self, pause: float) -> None:
+    def forgive(self, pause: float, *, now: float) -> None:
         """Leave a pause of our own out of all suspicions, in seconds."""
         self._suspect_since = {
-            instance: since + pause
+            instance: min(since + pause, now)
             for instance, since in self._suspect_since.items()
         }
 
--- a/tests/fakes_deployment.py
+++ b/tests/fakes_deployment.py
@@ -187,6 +187,12 @@
     def resume(self, instance: InstanceId) -> None:
         self.members[instance].paused = False
 
+    def wake(self, instance: InstanceId) -> None:
+        """Resume an instance that ticks before it reads what came."""
+        self.resume(instance)
+        member = self.members[instance]
+        self._perform(member.own, member.node.tick(now=self.now))
+
     def run(self, seconds: float) -> None:
         until = self.now + seconds
         while self._queue and self._queue[0][0] <= until:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -244,6 +244,34 @@
         nine.run(STEP)
         assert 'a2' not in nine.routable('a1')
 
+    # An instance removed a live one, whose refutation it had not read yet, as
+    # it counted a pause of its own that was shorter than the eager time-out.
+    def test_short_own_pause_removes_nobody(self) -> None:
+        part = Membership(make_instance('a1', 1), make_instances(1, 2))
+        beat = Heartbeat(1, 0, False, 1, 0, b'', Summary())
+        part.tick(now=0)
+        part.receive(InstanceId('a2'), beat, now=0)
+        paused_at = TIMING.patient - TIMING.interval - STEP
+        for step in range(1, int(paused_at / STEP) + 1):
+            part.tick(now=step * STEP)
+        suspect = part.record_of(InstanceId('a2'))
+        assert suspect is not None
+        assert suspect.standing is Standing.suspect
+        part.tick(now=paused_at + TIMING.eager)
+        assert [item.instance for item in part.alive] == ['a1', 'a2']
+
+    # Late ticks must not hide a death from an instance that is always late.
+    def test_late_ticks_notice_a_death(self) -> None:
+        part = Membership(make_instance('a1', 1), make_instances(1, 2))
+        beat = Heartbeat(1, 0, False, 1, 0, b'', Summary())
+        part.tick(now=0)
+        part.receive(InstanceId('a2'), beat, now=0)
+        late = TIMING.eager
+        ticks = int(TIMING.patient / TIMING.interval) + 2
+        for tick in range(1, ticks + 1):
+            part.tick(now=tick * late)
+        assert [item.instance for item in part.alive] == ['a1']
+
     def test_start_accuses_nobody(self, nine: Deployment) -> None:
         nine.kill('a1')
         nine.events.clear()
