Refuse jobs that come as a drained entry closes

What callers saw: a job that came just after the last look of an entry that found no request was handed over, and its connection was closed 0.4 s later without an answer.

Cause: an entry that nobody asks any more closes long before its grace ends, but went on to hand jobs over with the time until the last answers (5 s after SIGTERM). The HTTP server yields once before it closes idle connections, and then waits twice 0.2 s.

Change: once the entry closes, the time for answers is over, so that such a job is refused at once, as not run; it was not handed over. A second call of leave never prolongs that time.

--- a/src/cuminstack/fleet/_entry_desk.py
+++ b/src/cuminstack/fleet/_entry_desk.py
@@ -116,7 +116,7 @@
             answers_until: When the last job is answered, whatever became
                 of it.
         """
-        self._answers_until = answers_until
+        self._answers_until = min(self._answers_until, answers_until)
         for pending in self._pending.values():
             pending.deadline = min(pending.deadline, answers_until)
 
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -106,6 +106,8 @@
     seconds = settings.grace - _CLOSING_SECONDS
     role.leave(seconds=seconds - _LAST_ANSWERS_SECONDS)
     await _drain_logged(front, seconds)
+    # What comes between the last look and the close is refused at once.
+    role.leave(seconds=0)
     for runner in runners:
         await runner.cleanup()
     await role.stop()
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -1,6 +1,8 @@
 """An entry that was told to end, with a dispatcher of our own."""
 
 import asyncio
+import itertools
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -16,7 +18,8 @@
 from cuminstack.fleet import Ended, EntryBeat, LeaderBeat, Submit, Taken
 from cuminstack.links import Mesh
 from cuminstack.metrics import Exposition
-from cuminstack.platform._program import serve_control, serve_entry
+from cuminstack.platform import _program
+from cuminstack.platform._front import Front
 from cuminstack.platform._settings import PlatformSettings
 from cuminstack.pool import JobState
 from cuminstack.roles import ControlRole, RoleSettings, steady_now
@@ -104,7 +107,11 @@
     async def run(self) -> AsyncIterator[aiohttp.ClientSession]:
         await self.dispatcher.mesh.start()
         program = asyncio.create_task(
-            serve_entry(self._settings, Exposition(), self.told_to_end),
+            _program.serve_entry(
+                self._settings,
+                Exposition(),
+                self.told_to_end,
+            ),
         )
         async with aiohttp.ClientSession() as session:
             await until(lambda: self._is_ready(session), seconds=PATIENCE)
@@ -124,6 +131,12 @@
             await response.read()
             return response.status
 
+    def connect(self) -> socket.socket:
+        """Open a connection that is used later."""
+        return socket.create_connection(
+            (self._callers.host, self._callers.port),
+        )
+
     async def submitted(self, count: int) -> None:
         async def has_come() -> bool:
             return len(self.dispatcher.submits) >= count
@@ -176,6 +189,50 @@
             assert first.remaining > GRACE
             assert second.remaining < GRACE
 
+    # Guards against a job that is handed over and then broken off without an
+    # answer, as it came just after the last look had found no request.
+    async def test_job_after_the_last_look_is_answered(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(_program, '_OUT_OF_ROTATION_SECONDS', 0)
+        # One turn of the loop, so that what is sent after the last look but
+        # one is read just after the last.
+        monkeypatch.setattr(_program, '_LOOK_SECONDS', 0)
+        last = _program._QUIET_LOOKS
+        scene = _Scene()
+        async with scene.run():
+            with scene.connect() as connection:
+                connection.setblocking(False)
+                _send_after_look(monkeypatch, connection, last - 1)
+                scene.told_to_end.set()
+                loop = asyncio.get_running_loop()
+                async with asyncio.timeout(PATIENCE):
+                    answer = await loop.sock_recv(connection, 1000)
+            assert answer.startswith(b'HTTP/1.1 503 ')
+
+
+def _send_after_look(
+    monkeypatch: pytest.MonkeyPatch,
+    connection: socket.socket,
+    number: int,
+) -> None:
+    """Have a job sent just after an entry has looked for requests."""
+    body = JOB.encode()
+    head = (
+        f'POST /q/{KEYS[0]} HTTP/1.1\r\nHost: h.example\r\n'
+        f'X-Deadline-Ms: 60000\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    looks = itertools.count()
+
+    def look(front: Front) -> int:
+        # The first count is for the log, the others are looks.
+        if next(looks) == number:
+            connection.sendall(head.encode() + body)
+        return front._requests
+
+    monkeypatch.setattr(Front, 'requests', property(look))
+
 
 class TestLateOperators:
     """An operator's order is in progress as a control instance ends."""
@@ -219,7 +276,7 @@
         )
         told_to_end = asyncio.Event()
         program = asyncio.create_task(
-            serve_control(settings, Exposition(), told_to_end),
+            _program.serve_control(settings, Exposition(), told_to_end),
         )
         async with aiohttp.ClientSession() as session:
             order = asyncio.create_task(_replace(session, control))
