Show that cuminstackd outlives its drain and leaves a caller unanswered

A job of 300 s, and drain_seconds of 1: the caller got no answer (closed after 122.8 s), and the process ended 123 s after SIGTERM (one run by hand). docs/operators/start.md says that jobs in progress may end for up to drain_seconds, and that it exits.

Cause, by reading: nothing answers the callers that are left when the drain is over, and web.AppRunner has its default shutdown_timeout of 60 s, which aiohttp 3.14.5 waits twice. The ticks of the driver are cancelled first, so deadlines no longer act in that time.

--- a/tests/processes/test_instance_faults.py
+++ b/tests/processes/test_instance_faults.py
@@ -7,7 +7,7 @@
 from bench.caller import Submission
 from bench.oracle import OutcomeKind
 
-from processes.support import kinds, scene
+from processes.support import PATIENCE, kinds, scene
 
 COMPLETE = OutcomeKind.complete
 FAILED = OutcomeKind.failed
@@ -116,6 +116,18 @@
             assert await leaving.child.wait(seconds=10) == 0
             assert not act.starts(late)
 
+    # Guards against a caller that is left without an answer, and a process
+    # that goes on for a minute, as a job takes longer than the drain may.
+    async def test_job_longer_than_the_drain_is_answered(self) -> None:
+        job = Submission(key='long', run_ms=(PATIENCE * 4000,))
+        limits = {'limits': {'drain_seconds': '1'}}
+        async with scene(settings=limits) as act:
+            running = act.submit_soon(job, 0)
+            await act.started(job, 1)
+            act.instances[0].child.terminate()
+            assert await act.instances[0].child.wait(seconds=10) == 0
+            assert (await running).kind is FAILED
+
     async def test_others_take_its_endpoints(self) -> None:
         job = Submission(key='moved', run_ms=(20,) * 12)
         async with scene(instances=2, endpoints=2, slots=4) as act:
