--- a/bench/pool/_world.py
+++ b/bench/pool/_world.py
@@ -77,7 +77,9 @@
         millicores: int = 16000,
         seed: int = 1,
         order: str = 'useful-first',
+        make: Callable[..., Dispatcher] = Dispatcher,
     ) -> None:
+        self._make = make
         self.chance = random.Random(seed)
         self.now = 1000.0
         self.order = order
@@ -103,7 +105,7 @@
 
     def lead(self, *, term: int) -> Dispatcher:
         """Have a new dispatcher take over."""
-        self.dispatcher = Dispatcher(
+        self.dispatcher = self._make(
             term=term,
             instance=term,
             order=find_order(self.order),
