Keep the waiting jobs in order between events

Cause: at each answer to a hold and each submission the dispatcher took the sort keys of all waiting jobs, several hundred in a backlog, and sorted them; each arriving job was compared with all of them once more.

Change: a queue keeps them sorted. The work ahead of a job is summed up in another order, so its last bits may differ.

--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -7,7 +7,7 @@
 from cuminstack.pool._effects import JobRefused, RefusalReason
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._jobs import Job
-from cuminstack.pool._orders import Order
+from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import Step
 
 #: When a caller may come back if no endpoint is known; they send a
@@ -29,23 +29,16 @@
     Args:
         endpoints: Those of its service.
         jobs: The jobs that were taken before.
-        order: In which order waiting jobs get room.
+        queue: Those of them that wait, in order.
     """
 
     endpoints: Collection[Endpoint]
     jobs: Collection[Job]
-    order: Order
+    queue: JobQueue
 
     def wait_of(self, job: Job, *, now: float) -> float:
         """Give the seconds until a job that arrives now gets room."""
-        key = self.order(job, now)
-        ahead = [
-            other.waiting_work
-            for other in self.jobs
-            if other.terms.service == job.terms.service
-            and self.order(other, now) <= key
-        ]
-        waiting = sum(ahead)
+        waiting = self.queue.work_ahead(job, now=now)
         if not waiting:
             return 0
         room = sum(
--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -7,10 +7,9 @@
 from cuminstack.pool._effects import Effect, Effects
 from cuminstack.pool._endpoint import Endpoint, Run
 from cuminstack.pool._exchange import StartRun
-from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Task
-from cuminstack.pool._orders import Order
 from cuminstack.pool._placement import find_endpoint
+from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import Room
 from cuminstack.pool._watch import LEASE_SECONDS
 
@@ -30,6 +29,11 @@
         self.endpoints = endpoints
         self.measure()
 
+    @property
+    def millicores(self) -> int:
+        """The most that is free at one of them; negative if none is."""
+        return self._most.millicores
+
     def measure(self) -> None:
         """Take how much room is free at most, of each resource."""
         rooms = [endpoint.free for endpoint in self.endpoints]
@@ -49,20 +53,16 @@
 
     Args:
         endpoints: All known endpoints.
-        jobs: All known jobs.
-        order: In which order waiting jobs get room.
+        queue: The waiting jobs in order.
     """
 
     def __init__(
         self,
         endpoints: dict[EndpointId, Endpoint],
-        jobs: JobTable,
-        *,
-        order: Order,
+        queue: JobQueue,
     ) -> None:
         self._endpoints = endpoints
-        self._jobs = jobs
-        self._order = order
+        self._queue = queue
         self._entries: dict[InstanceId, float] = {}
 
     def entry_heard(self, entry: InstanceId, stamp: float) -> None:
@@ -71,17 +71,16 @@
 
     def assign(self, *, now: float) -> Effects:
         """Give free room to the waiting jobs."""
-        jobs = [job for job in self._jobs.live if self._may_run(job, now)]
-        if not jobs:
-            return ()
-        services = {job.terms.service for job in jobs}
-        starters = {name: self._starters(name, now) for name in services}
-        # What finds no room needs no place in the order.
-        served = [job for job in jobs if starters[job.terms.service].suits(job)]
-        served.sort(key=lambda job: self._order(job, now))
+        starters: dict[str, Starters] = {}
         effects: list[Effect] = []
-        for job in served:
-            effects.extend(self._place(job, starters[job.terms.service], now))
+        for waiting in self._queue.waiting(now=now):
+            name = waiting.service
+            if name not in starters:
+                starters[name] = self._starters(name, now)
+            if waiting.millicores > starters[name].millicores:
+                continue
+            if self._may_run(waiting.job, now):
+                effects.extend(self._place(waiting.job, starters[name], now))
         return tuple(effects)
 
     def pool_of(self, service: str) -> tuple[Endpoint, ...]:
@@ -97,8 +96,6 @@
 
         An entry that went silent may have gone to another dispatcher.
         """
-        if not job.ready_tasks:
-            return False
         silence = now - self._entries.get(job.submission.entry, 0)
         if silence > _FRESH_SECONDS:
             return False
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -23,6 +23,7 @@
     note_start_refused,
 )
 from cuminstack.pool._orders import Order
+from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import EndpointReport
 from cuminstack.pool._refuser import Refuser
 from cuminstack.pool._runs import RunKeeper
@@ -59,10 +60,11 @@
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._heard_at: dict[EndpointId, float] = {}
-        self._jobs = JobTable(term=term)
+        queue = JobQueue(order)
+        self._jobs = JobTable(queue, term=term)
         self._runs = RunKeeper(self._endpoints, self._jobs)
-        self._assigner = Assigner(self._endpoints, self._jobs, order=order)
-        self._refuser = Refuser(self._jobs, self._assigner, order=order)
+        self._assigner = Assigner(self._endpoints, queue)
+        self._refuser = Refuser(self._jobs, self._assigner, queue)
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
--- a/src/cuminstack/pool/_job_table.py
+++ b/src/cuminstack/pool/_job_table.py
@@ -2,12 +2,13 @@
 
 from collections import Counter
 from dataclasses import replace
-from itertools import islice
+from itertools import count, islice
 from typing import Final
 
 from cuminstack.core import JobKey
 from cuminstack.pool._effects import JobEnded, JobState
 from cuminstack.pool._jobs import Job, Submission, Task
+from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import TaskKey
 from cuminstack.pool._run_times import RunTimes
 
@@ -24,10 +25,13 @@
     """Jobs by key.
 
     Args:
+        queue: Keeps the waiting ones in order.
         term: Term of the dispatcher; run numbers of later terms are higher.
     """
 
-    def __init__(self, *, term: int) -> None:
+    def __init__(self, queue: JobQueue, *, term: int) -> None:
+        self._queue = queue
+        self._numbers = count()
         self._first_number = (term - 1) * _NUMBERS_OF_TERM
         self._jobs: dict[JobKey, Job] = {}
         self._ended: dict[JobKey, tuple[float, JobState | None, int]] = {}
@@ -98,7 +102,7 @@
                 is_blind=before.is_blind or submission.is_blind,
             )
             job.abandoned = False
-            self._live = None
+            self._take_change(job)
         return job
 
     def add(self, job: Job) -> None:
@@ -106,7 +110,7 @@
         key = job.submission.request.key
         self._ended.pop(key, None)
         self._jobs[key] = job
-        self._live = None
+        self._take_change(job)
 
     def make(self, submission: Submission) -> Job:
         """Make a job, with run numbers above those that were used."""
@@ -118,7 +122,13 @@
             self._times.expect(queue, step.estimate)
             for step in submission.request.steps
         )
-        return Job(submission, first_number=number, seconds=seconds)
+        return Job(
+            submission,
+            first_number=number,
+            seconds=seconds,
+            number=next(self._numbers),
+            changed=self._queue.note,
+        )
 
     def learn(self, job: Job, task: Task, seconds: float) -> None:
         """Take the run time of a task that is done."""
@@ -153,8 +163,12 @@
                 self._refused.pop(refused)
 
     def _remember(self, job: Job, state: JobState | None, now: float) -> None:
-        self._live = None
+        self._take_change(job)
         key = job.submission.request.key
         highest = max(task.number for task in job.tasks.values())
         self._ended.pop(key, None)
         self._ended[key] = (now, state, highest)
+
+    def _take_change(self, job: Job) -> None:
+        self._live = None
+        self._queue.note(job)
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -1,7 +1,7 @@
 """Jobs at the dispatcher: which tasks wait, run, or are done."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -84,6 +84,7 @@
 
     ready: tuple[Task, ...]
     ready_needs: tuple[Room, ...]
+    is_waiting: bool
     waiting_work: float
     running_work: float
     is_started: bool
@@ -100,6 +101,8 @@
         submission: What was handed over.
         first_number: Run numbers of its tasks are above this one.
         seconds: Expected run time of a task, for each step.
+        number: Grows with each job of a dispatcher.
+        changed: Called with the job when a task of it changes its state.
     """
 
     def __init__(
@@ -108,7 +111,11 @@
         *,
         first_number: int,
         seconds: tuple[float, ...],
+        number: int,
+        changed: Callable[['Job'], None],
     ) -> None:
+        self.number = number
+        self._changed = changed
         self.submission = submission
         self.seconds = seconds
         self.abandoned = False
@@ -137,6 +144,11 @@
         """Whether all tasks are done."""
         return not any(self._undone)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a task has to be started, now or after others."""
+        return self._standing.is_waiting
+
     @property
     def is_started(self) -> bool:
         """Whether a task was started."""
@@ -225,19 +237,23 @@
     def requeue(self, task: Task) -> None:
         """Take that a task has no run any more, and has to have one."""
         task.state = TaskState.waiting
-        self._known = None
+        self._take_change()
 
     def finish(self, task: Task) -> None:
         """Take that a task is done."""
         if task.state is not TaskState.done:
             task.state = TaskState.done
             self._undone[task.key.step] -= 1
-            self._known = None
+            self._take_change()
 
     def _place(self, task: Task, endpoint: EndpointId) -> None:
         task.state = TaskState.placed
         task.endpoint = endpoint
+        self._take_change()
+
+    def _take_change(self) -> None:
         self._known = None
+        self._changed(self)
 
     def _work_out(self) -> _Standing:
         tasks = self.tasks.values()
@@ -250,6 +266,7 @@
         return _Standing(
             ready=ready,
             ready_needs=tuple(self.steps[step].needs for step in steps),
+            is_waiting=any(task.state is TaskState.waiting for task in tasks),
             waiting_work=self._work_of(TaskState.waiting),
             running_work=self._work_of(TaskState.placed),
             is_started=any(task.number > self._first_number for task in tasks),
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -13,7 +13,7 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._notes import note_refusal
-from cuminstack.pool._orders import Order
+from cuminstack.pool._queue import JobQueue
 
 
 class Refuser:
@@ -22,19 +22,18 @@
     Args:
         jobs: All known jobs.
         assigner: Knows the endpoints of a service.
-        order: In which order waiting jobs get room.
+        queue: The waiting jobs in order.
     """
 
     def __init__(
         self,
         jobs: JobTable,
         assigner: Assigner,
-        *,
-        order: Order,
+        queue: JobQueue,
     ) -> None:
         self._jobs = jobs
         self._assigner = assigner
-        self._order = order
+        self._queue = queue
 
     def judge(self, job: Job, *, now: float) -> Effects:
         """Refuse a job that comes, or give nothing if it may be taken."""
@@ -64,4 +63,4 @@
 
     def _load_of(self, job: Job) -> Load:
         endpoints = self._assigner.pool_of(job.terms.service)
-        return Load(endpoints, self._jobs.live, self._order)
+        return Load(endpoints, self._jobs.live, self._queue)
