Keep the endpoints in the order of their free room

Cause: each event with a waiting job listed all endpoints, took the most that is free at any after every start, and ranked all of them for each task.

Change: endpoints say when their room changes or whether they take starts, and stand in order of free room. The search begins at the first that is large enough and ends at the first without a flaw, which is the one that ranking all of them gives. find_endpoint takes the starters in place of a list; the test that watches it passes on the same, with other types. is_waiting of the commit before was one more way to say what ready tasks and waiting work say.

--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -1,6 +1,6 @@
 """Gives free room to the jobs that wait for it."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId
@@ -10,7 +10,7 @@
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
 from cuminstack.pool._queue import JobQueue
-from cuminstack.pool._records import Room
+from cuminstack.pool._rooms import Rooms, Starters
 from cuminstack.pool._watch import LEASE_SECONDS
 
 #: Seconds of silence of an entry after which its jobs start nothing more.
@@ -18,50 +18,23 @@
 _FRESH_SECONDS: Final = 0.25
 
 
-class Starters:
-    """The endpoints of a service that may get starts.
-
-    Args:
-        endpoints: Those endpoints.
-    """
-
-    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
-        self.endpoints = endpoints
-        self.measure()
-
-    @property
-    def millicores(self) -> int:
-        """The most that is free at one of them; negative if none is."""
-        return self._most.millicores
-
-    def measure(self) -> None:
-        """Take how much room is free at most, of each resource."""
-        rooms = [endpoint.free for endpoint in self.endpoints]
-        self._most = Room(
-            max((room.millicores for room in rooms), default=-1),
-            max((room.memory_mb for room in rooms), default=-1),
-            max((room.accelerators for room in rooms), default=-1),
-        )
-
-    def suits(self, job: Job) -> bool:
-        """Tell whether a task of a job may find room; if not, none does."""
-        return any(self._most.holds(needs) for needs in job.ready_needs)
-
-
 class Assigner:
     """Starts tasks of waiting jobs where there is room.
 
     Args:
         endpoints: All known endpoints.
+        rooms: Those of them that take starts.
         queue: The waiting jobs in order.
     """
 
     def __init__(
         self,
         endpoints: dict[EndpointId, Endpoint],
+        rooms: Rooms,
         queue: JobQueue,
     ) -> None:
         self._endpoints = endpoints
+        self._rooms = rooms
         self._queue = queue
         self._entries: dict[InstanceId, float] = {}
 
@@ -76,7 +49,7 @@
         for waiting in self._queue.waiting(now=now):
             name = waiting.service
             if name not in starters:
-                starters[name] = self._starters(name, now)
+                starters[name] = Starters(self._rooms, name, now=now)
             if waiting.millicores > starters[name].millicores:
                 continue
             if self._may_run(waiting.job, now):
@@ -105,15 +78,6 @@
             return False
         return all(endpoint.has_joined for endpoint in self._endpoints.values())
 
-    def _starters(self, service: str, now: float) -> Starters:
-        """List the endpoints that may get starts.
-
-        Those put aside are among them only if no others are left.
-        """
-        takers = [each for each in self.pool_of(service) if each.takes_starts]
-        sound = [each for each in takers if not each.health.is_aside(now=now)]
-        return Starters(sound or takers)
-
     def _place(
         self,
         job: Job,
@@ -123,8 +87,9 @@
         if not starters.suits(job):
             return
         for task in job.ready_tasks:
-            endpoint = find_endpoint(starters.endpoints, job, task, now=now)
+            endpoint = find_endpoint(starters, job, task)
             if endpoint is None:
+                starters.missed()
                 return
             yield self._start(endpoint, job, task, now)
             starters.measure()
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
+from itertools import count
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
@@ -26,6 +27,7 @@
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import EndpointReport
 from cuminstack.pool._refuser import Refuser
+from cuminstack.pool._rooms import Rooms
 from cuminstack.pool._runs import RunKeeper
 from cuminstack.pool._watch import EndpointWatch
 
@@ -59,11 +61,13 @@
     ) -> None:
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
+        self._numbers = count()
+        self._rooms = Rooms()
         self._heard_at: dict[EndpointId, float] = {}
         queue = JobQueue(order)
         self._jobs = JobTable(queue, term=term)
         self._runs = RunKeeper(self._endpoints, self._jobs)
-        self._assigner = Assigner(self._endpoints, queue)
+        self._assigner = Assigner(self._endpoints, self._rooms, queue)
         self._refuser = Refuser(self._jobs, self._assigner, queue)
 
     @property
@@ -109,7 +113,12 @@
         known = self._endpoints.get(report.endpoint)
         if known is None:
             token = self._watch.tokens.take()
-            known = Endpoint(report, token=token)
+            known = Endpoint(
+                report,
+                token=token,
+                number=next(self._numbers),
+                changed=self._rooms.note,
+            )
             self._endpoints[report.endpoint] = known
         if not report.is_as_new_as(known.report):
             return ()
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -1,6 +1,8 @@
 """One endpoint, as the dispatcher that writes to it sees it."""
 
 import enum
+from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 from cuminstack.pool._clock import EndpointClock
@@ -67,18 +69,30 @@
     Args:
         report: Its newest heartbeat.
         token: Fencing token of the orders to it.
+        number: Grows with each endpoint of a dispatcher.
+        changed: Called with the endpoint when its free room changes, or
+            whether it takes starts.
     """
 
-    def __init__(self, report: EndpointReport, *, token: int) -> None:
+    def __init__(
+        self,
+        report: EndpointReport,
+        *,
+        token: int,
+        number: int,
+        changed: Callable[['Endpoint'], None],
+    ) -> None:
+        self.number = number
+        self._changed = changed
         self._report = report
         self._free: Room | None = None
         self.life = Life(report.lifetime)
-        self.phase = Phase.joining
+        self._phase = Phase.joining
         self.has_joined = False
         self.token = token
         self.health = EndpointHealth()
         self.runs: dict[RunKey, Run] = {}
-        self.strangers: set[RunKey] = set()
+        self._strangers: set[RunKey] = set()
         self.hold: Hold | None = None
         self.hold_sent_at: float = 0
         self.silences = 0
@@ -92,7 +106,22 @@
     @report.setter
     def report(self, report: EndpointReport) -> None:
         self._report = report
-        self._free = None
+        self._take_change()
+
+    @property
+    def phase(self) -> Phase:
+        """What the dispatcher may do with it."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase: Phase) -> None:
+        self._phase = phase
+        self._take_change()
+
+    @property
+    def strangers(self) -> AbstractSet[RunKey]:
+        """Runs here of another dispatcher that no job has claimed."""
+        return self._strangers
 
     @property
     def free(self) -> Room:
@@ -105,9 +134,9 @@
     def takes_starts(self) -> bool:
         """Whether a task may be started here now."""
         return (
-            self.phase is Phase.ready
-            and not self.report.draining
-            and not self.strangers
+            self._phase is Phase.ready
+            and not self._report.draining
+            and not self._strangers
         )
 
     @property
@@ -115,6 +144,17 @@
         """When nothing that was ordered so far can be running."""
         return self.life.clock.surely_passed(self.life.longest_expiry)
 
+    def meet(self, key: RunKey) -> None:
+        """Take that a run of another dispatcher is here."""
+        self._strangers.add(key)
+        self._take_change()
+
+    def part(self, key: RunKey) -> None:
+        """Take that such a run is claimed, or has ended."""
+        if key in self._strangers:
+            self._strangers.discard(key)
+            self._take_change()
+
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
@@ -131,7 +171,7 @@
         """Free all room, as nothing runs here any more."""
         ended = tuple(self.runs.values())
         self.runs.clear()
-        self.strangers.clear()
+        self._strangers.clear()
         self._use(NO_ROOM)
         return ended
 
@@ -147,4 +187,8 @@
 
     def _use(self, room: Room) -> None:
         self._used = room
+        self._take_change()
+
+    def _take_change(self) -> None:
         self._free = None
+        self._changed(self)
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -84,7 +84,6 @@
 
     ready: tuple[Task, ...]
     ready_needs: tuple[Room, ...]
-    is_waiting: bool
     waiting_work: float
     running_work: float
     is_started: bool
@@ -144,11 +143,6 @@
         """Whether all tasks are done."""
         return not any(self._undone)
 
-    @property
-    def is_waiting(self) -> bool:
-        """Whether a task has to be started, now or after others."""
-        return self._standing.is_waiting
-
     @property
     def is_started(self) -> bool:
         """Whether a task was started."""
@@ -266,7 +260,6 @@
         return _Standing(
             ready=ready,
             ready_needs=tuple(self.steps[step].needs for step in steps),
-            is_waiting=any(task.state is TaskState.waiting for task in tasks),
             waiting_work=self._work_of(TaskState.waiting),
             running_work=self._work_of(TaskState.placed),
             is_started=any(task.number > self._first_number for task in tasks),
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -1,23 +1,26 @@
 """Where a task goes: the endpoint that suits it best."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator
 from typing import Final
 
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._health import SLOW_LAG
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._records import Step
+from cuminstack.pool._rooms import Starters
 
 #: How much longer a task takes away from its data, if nothing is known.
 _COLD_SECONDS: Final = 0.1
 
+#: What speaks against an endpoint, the worst first.
+_Flaws = tuple[bool, bool, bool, bool]
+_FLAWLESS: Final[_Flaws] = (False, False, False, False)
+
 
 def find_endpoint(
-    endpoints: Sequence[Endpoint],
+    starters: Starters,
     job: Job,
     task: Task,
-    *,
-    now: float,
 ) -> Endpoint | None:
     """Give the endpoint for a task, or None if none has room.
 
@@ -25,26 +28,33 @@
     that is left with the least room.
 
     Args:
-        endpoints: Those of the service that take starts.
+        starters: Those of the service that may get starts.
         job: The job.
         task: Its task.
-        now: The present time.
     """
     step = job.steps[task.key.step]
-    # It waits for an endpoint that hasn't failed it, if there is any.
-    wanted = _untried(endpoints, task) or endpoints
-    fitting = [each for each in wanted if _fits(each, task, step)]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda each: _rank(each, step, now))
+    found: tuple[_Flaws, Endpoint] | None = None
+    for endpoint in _fitting(starters, task, step):
+        flaws = _flaws_of(endpoint, step)
+        if flaws == _FLAWLESS:
+            return endpoint
+        if found is None or flaws < found[0]:
+            found = (flaws, endpoint)
+    return None if found is None else found[1]
 
 
-def _untried(endpoints: Sequence[Endpoint], task: Task) -> Sequence[Endpoint]:
-    if not task.failed_on:
-        return endpoints
-    return [
-        each for each in endpoints if each.report.endpoint not in task.failed_on
-    ]
+def _fitting(
+    starters: Starters,
+    task: Task,
+    step: Step,
+) -> Iterator[Endpoint]:
+    # It waits for an endpoint that hasn't failed it, if there is any.
+    failed = task.failed_on
+    avoided = failed if failed and starters.has_others(failed) else ()
+    for endpoint in starters.holding(step.needs.millicores):
+        is_avoided = endpoint.report.endpoint in avoided
+        if not is_avoided and _fits(endpoint, task, step):
+            yield endpoint
 
 
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
@@ -65,17 +75,11 @@
     )
 
 
-def _rank(
-    endpoint: Endpoint,
-    step: Step,
-    now: float,
-) -> list[float]:
+def _flaws_of(endpoint: Endpoint, step: Step) -> _Flaws:
     health = endpoint.health
-    return [
-        health.is_aside(now=now),
+    return (
         health.lag > SLOW_LAG,
         endpoint.report.cold_seconds > _COLD_SECONDS,
         bool(step.rack) and step.rack not in endpoint.report.labels,
         health.is_blamed,
-        endpoint.free.millicores,
-    ]
+    )
--- a/src/cuminstack/pool/_queue.py
+++ b/src/cuminstack/pool/_queue.py
@@ -87,7 +87,7 @@
         known = self._places.pop(job.number, None)
         if known is not None:
             self._waiting.pop(bisect_left(self._waiting, known[0]))
-        if job.abandoned or not job.is_waiting:
+        if job.abandoned or not (job.ready_tasks or job.waiting_work):
             return
         place = self._order(job, now)
         waiting = _describe(job, place)
--- /dev/null
+++ b/src/cuminstack/pool/_rooms.py
@@ -0,0 +1,145 @@
+"""Endpoints that take starts, in the order of their free room.
+
+A start or an end changes the room of one endpoint, so the others keep their
+places from event to event.
+"""
+
+from bisect import bisect_left, insort
+from collections import defaultdict
+from collections.abc import Container, Iterator, Sequence
+from itertools import islice
+from typing import NamedTuple
+
+from cuminstack.core import EndpointId
+from cuminstack.pool._endpoint import Endpoint
+from cuminstack.pool._jobs import Job
+from cuminstack.pool._records import Room
+
+
+class FreeRoom(NamedTuple):
+    """An endpoint by its free room; the least comes first.
+
+    Args:
+        millicores: What is free of them.
+        number: Of the endpoint.
+        endpoint: The endpoint.
+    """
+
+    millicores: int
+    number: int
+    endpoint: Endpoint
+
+
+class Rooms:
+    """The endpoints that take starts, of all services."""
+
+    def __init__(self) -> None:
+        self._changed: dict[int, Endpoint] = {}
+        self._known: dict[int, tuple[str, FreeRoom]] = {}
+        self._takers: defaultdict[str, list[FreeRoom]] = defaultdict(list)
+
+    def note(self, endpoint: Endpoint) -> None:
+        """Take that an endpoint has come, changed or left."""
+        self._changed[endpoint.number] = endpoint
+
+    def takers(self, service: str) -> Sequence[FreeRoom]:
+        """List the endpoints of a service that take starts now.
+
+        The list is changed by later calls, not by events between them.
+        """
+        for endpoint in self._changed.values():
+            self._put(endpoint)
+        self._changed.clear()
+        return self._takers[service]
+
+    def _put(self, endpoint: Endpoint) -> None:
+        known = self._known.pop(endpoint.number, None)
+        if known is not None:
+            name, room = known
+            takers = self._takers[name]
+            takers.pop(bisect_left(takers, room))
+        if endpoint.takes_starts:
+            name = endpoint.report.service
+            free = endpoint.free.millicores
+            room = FreeRoom(free, endpoint.number, endpoint)
+            insort(self._takers[name], room)
+            self._known[endpoint.number] = (name, room)
+
+
+class Starters:
+    """The endpoints of a service that may get starts at a moment.
+
+    Those put aside are among them only if no others are left.
+
+    Args:
+        rooms: Knows the endpoints.
+        service: The service.
+        now: The moment.
+    """
+
+    def __init__(self, rooms: Rooms, service: str, *, now: float) -> None:
+        self._rooms = rooms
+        self._service = service
+        self._now = now
+        self._has_sound = any(
+            not each.endpoint.health.is_aside(now=now) for each in self._takers
+        )
+        self._most: Room | None = None
+        self.measure()
+
+    @property
+    def millicores(self) -> int:
+        """The most that is free at one of them; negative if none is."""
+        return self._millicores
+
+    @property
+    def _takers(self) -> Sequence[FreeRoom]:
+        return self._rooms.takers(self._service)
+
+    def measure(self) -> None:
+        """Take how much is free at most, after a start."""
+        largest = (
+            each.millicores
+            for each in reversed(self._takers)
+            if self._may_start(each.endpoint)
+        )
+        self._millicores = next(largest, -1)
+
+    def missed(self) -> None:
+        """Take that a task found no room, so that others spare the search.
+
+        What is free of other resources is measured once, as it only becomes
+        less within the moment.
+        """
+        if self._most is None:
+            rooms = [endpoint.free for endpoint in self.holding(0)]
+            self._most = Room(
+                self._millicores,
+                max((room.memory_mb for room in rooms), default=-1),
+                max((room.accelerators for room in rooms), default=-1),
+            )
+
+    def suits(self, job: Job) -> bool:
+        """Tell whether a task of a job may find room; if not, none does."""
+        if self._most is None:
+            return True
+        return any(self._most.holds(needs) for needs in job.ready_needs)
+
+    def holding(self, millicores: int) -> Iterator[Endpoint]:
+        """List those with so much free, that with the least room first."""
+        takers = self._takers
+        first = bisect_left(takers, (millicores,))
+        for each in islice(takers, first, None):
+            if self._may_start(each.endpoint):
+                yield each.endpoint
+
+    def has_others(self, than: Container[EndpointId]) -> bool:
+        """Tell whether there are any, with room or not, beside some."""
+        return any(
+            each.endpoint.report.endpoint not in than
+            for each in self._takers
+            if self._may_start(each.endpoint)
+        )
+
+    def _may_start(self, endpoint: Endpoint) -> bool:
+        return not (self._has_sound and endpoint.health.is_aside(now=self._now))
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -72,7 +72,7 @@
         listed = {progress.run for progress in view.running}
         for key in tuple(endpoint.strangers):
             if key not in listed:
-                endpoint.strangers.discard(key)
+                endpoint.part(key)
         for progress in view.running:
             run = endpoint.runs.get(progress.run)
             if run is None:
@@ -133,7 +133,7 @@
         end: RunEnd,
         now: float,
     ) -> Iterator[Effect]:
-        endpoint.strangers.discard(end.run)
+        endpoint.part(end.run)
         run = endpoint.remove(end.run)
         job = self._jobs.find(end.run.task.job)
         task = self._jobs.find_task(end.run.task)
@@ -233,7 +233,7 @@
         key: RunKey,
         now: float,
     ) -> None:
-        endpoint.strangers.add(key)
+        endpoint.meet(key)
         job = self._jobs.find(key.task.job)
         if job is not None:
             self.claim(job, now=now)
@@ -245,7 +245,7 @@
                 task = job.tasks.get(key.task)
                 if task is None or task.state is not TaskState.waiting:
                     continue
-                endpoint.strangers.discard(key)
+                endpoint.part(key)
                 needs = job.steps[task.key.step].needs
                 run = Run(key, needs, sent_at=now, confirmed_at=now)
                 endpoint.add(run)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,6 +1,5 @@
 """The dispatcher over a pool: what must hold, and how it meets loads."""
 
-from collections.abc import Sequence
 from functools import partial
 
 import pytest
@@ -11,6 +10,7 @@
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
+from cuminstack.pool._rooms import Starters
 
 
 def _mix(world: PoolWorld, jobs: int, *, gap: float = 0.03) -> None:
@@ -360,11 +360,9 @@
     ) -> None:
         searched: list[JobKey] = []
 
-        def search(
-            endpoints: Sequence[Endpoint], job: Job, task: Task, *, now: float
-        ) -> Endpoint | None:
+        def search(starters: Starters, job: Job, task: Task) -> Endpoint | None:
             searched.append(task.key.job)
-            return find_endpoint(endpoints, job, task, now=now)
+            return find_endpoint(starters, job, task)
 
         monkeypatch.setattr(_assignment, 'find_endpoint', search)
         world.run_for(0.2)
