Keep the room and the work that an arriving job is judged by

Cause: each submission and each refusal listed all endpoints of the service twice, summed up their room, and summed up the running work of all jobs, for which the list of all jobs was made anew.

Change: the rooms know the endpoints of a service, and the queue the running work of each job; both change with the endpoint or the job. The refuser needs the list of jobs at ticks only.

--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -1,14 +1,15 @@
 """Which jobs are refused, as they can't be served in time to be of use."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from cuminstack.pool._effects import JobRefused, RefusalReason
-from cuminstack.pool._endpoint import Endpoint, Phase
+from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import Step
+from cuminstack.pool._rooms import Rooms
 
 #: When a caller may come back if no endpoint is known; they send a
 #: heartbeat each 1.5 s.
@@ -27,13 +28,11 @@
     """What a job has to wait for.
 
     Args:
-        endpoints: Those of its service.
-        jobs: The jobs that were taken before.
-        queue: Those of them that wait, in order.
+        rooms: Knows the endpoints.
+        queue: The jobs that were taken before.
     """
 
-    endpoints: Collection[Endpoint]
-    jobs: Collection[Job]
+    rooms: Rooms
     queue: JobQueue
 
     def wait_of(self, job: Job, *, now: float) -> float:
@@ -41,12 +40,8 @@
         waiting = self.queue.work_ahead(job, now=now)
         if not waiting:
             return 0
-        room = sum(
-            endpoint.report.room.millicores
-            for endpoint in self.endpoints
-            if _will_take_starts(endpoint, now)
-        )
-        running = sum(other.running_work for other in self.jobs) * _LEFT_SHARE
+        room = self.rooms.capacity(job.terms.service, now=now)
+        running = self.queue.running_work(now=now) * _LEFT_SHARE
         return (waiting + running) / max(1, room * _PACKED_SHARE)
 
 
@@ -58,7 +53,7 @@
         load: What it has to wait for.
         now: The present time.
     """
-    alive = [each for each in load.endpoints if each.phase is not Phase.gone]
+    alive = load.rooms.members(job.terms.service)
     if not alive:
         reason = RefusalReason.not_serving
         return _refuse(job, reason, _NO_ENDPOINT_SECONDS)
@@ -86,17 +81,6 @@
     return _refuse(job, RefusalReason.overload, wait)
 
 
-def _will_take_starts(endpoint: Endpoint, now: float) -> bool:
-    """Tell whether there will be room, though perhaps not at this moment.
-
-    Orders are voided within milliseconds, and a new dispatcher joins all
-    endpoints as quickly.
-    """
-    is_lost = endpoint.phase in {Phase.silent, Phase.gone}
-    is_aside = endpoint.health.is_aside(now=now)
-    return not (is_lost or is_aside or endpoint.report.draining)
-
-
 def _refuse(job: Job, reason: RefusalReason, seconds: float) -> JobRefused:
     submission = job.submission
     return JobRefused(submission.request.key, submission.entry, reason, seconds)
--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -59,14 +59,6 @@
                 full.add(waiting.service)
         return tuple(effects)
 
-    def pool_of(self, service: str) -> tuple[Endpoint, ...]:
-        """List the endpoints of a service."""
-        return tuple(
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.report.service == service
-        )
-
     def _may_run(
         self,
         waiting: WaitingJob,
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
+from cuminstack.pool._admission import Load
 from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._effects import (
     Effect,
@@ -68,7 +69,7 @@
         self._jobs = JobTable(queue, term=term)
         self._runs = RunKeeper(self._endpoints, self._jobs)
         self._assigner = Assigner(self._endpoints, self._rooms, queue)
-        self._refuser = Refuser(self._jobs, self._assigner, queue)
+        self._refuser = Refuser(self._jobs, Load(self._rooms, queue))
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -139,6 +139,13 @@
             and not self._strangers
         )
 
+    @property
+    def will_take_starts(self) -> bool:
+        """Whether it takes starts, or will if it answers."""
+        phase = self._phase
+        is_lost = phase is Phase.silent or phase is Phase.gone
+        return not (is_lost or self._report.draining)
+
     @property
     def lapses_at(self) -> float:
         """When nothing that was ordered so far can be running."""
--- a/src/cuminstack/pool/_queue.py
+++ b/src/cuminstack/pool/_queue.py
@@ -49,6 +49,8 @@
         self._changed: dict[int, Job] = {}
         self._waiting: list[WaitingJob] = []
         self._places: dict[int, tuple[WaitingJob, float]] = {}
+        # Work that runs, by number of the job.
+        self._running: dict[int, float] = {}
         # What the jobs take at the least, sorted, by service.
         self._needs: defaultdict[str, list[float]] = defaultdict(list)
         # When keys stop to hold; numbers of jobs that have left may be in it.
@@ -90,11 +92,19 @@
             if each.service == service
         )
 
+    def running_work(self, *, now: float) -> float:
+        """Sum up the work of all tasks that run."""
+        self.waiting(now=now)
+        return sum(self._running.values())
+
     def _put(self, job: Job, now: float) -> None:
         """Give a job its place."""
         known = self._places.pop(job.number, None)
         if known is not None:
             self._remove(known[0])
+        self._running.pop(job.number, None)
+        if not job.abandoned and job.running_work:
+            self._running[job.number] = job.running_work
         if job.abandoned or not (job.ready_tasks or job.waiting_work):
             return
         place = self._order(job, now)
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -8,12 +8,10 @@
     refusal_of,
     refusal_of_waiting,
 )
-from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._effects import Effect, Effects, JobRefused
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._notes import note_refusal
-from cuminstack.pool._queue import JobQueue
 
 
 class Refuser:
@@ -21,19 +19,16 @@
 
     Args:
         jobs: All known jobs.
-        assigner: Knows the endpoints of a service.
-        queue: The waiting jobs in order.
+        load: What jobs have to wait for.
     """
 
     def __init__(
         self,
         jobs: JobTable,
-        assigner: Assigner,
-        queue: JobQueue,
+        load: Load,
     ) -> None:
         self._jobs = jobs
-        self._assigner = assigner
-        self._queue = queue
+        self._load = load
 
     def judge(self, job: Job, *, now: float) -> Effects:
         """Refuse a job that comes, or give nothing if it may be taken."""
@@ -46,7 +41,7 @@
         """Refuse the jobs that have waited too long to be of use."""
         for job in self._jobs.live:
             if is_hopeless(job, now=now):
-                refusal = refusal_of_waiting(job, self._load_of(job), now=now)
+                refusal = refusal_of_waiting(job, self._load, now=now)
                 self._jobs.abandon(job, now=now)
                 self._jobs.settle(job)
                 yield from self._refuse(job, refusal, now)
@@ -56,11 +51,7 @@
         return (refusal, note_refusal(refusal, job, now=now))
 
     def _refusal_of(self, job: Job, now: float) -> JobRefused | None:
-        load = self._load_of(job)
+        load = self._load
         if self._jobs.was_refused(job.submission):
             return refusal_of_waiting(job, load, now=now)
         return None if job.may_have_run else refusal_of(job, load, now=now)
-
-    def _load_of(self, job: Job) -> Load:
-        endpoints = self._assigner.pool_of(job.terms.service)
-        return Load(endpoints, self._jobs.live, self._queue)
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -1,4 +1,4 @@
-"""Endpoints that take starts, in the order of their free room.
+"""Endpoints by service, and those that take starts by their free room.
 
 A start or an end changes the room of one endpoint, so the others keep their
 places from event to event.
@@ -6,12 +6,12 @@
 
 from bisect import bisect_left, insort
 from collections import defaultdict
-from collections.abc import Container, Iterator, Sequence
+from collections.abc import Collection, Container, Iterator, Sequence
 from itertools import islice
 from typing import NamedTuple
 
 from cuminstack.core import EndpointId
-from cuminstack.pool._endpoint import Endpoint
+from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._records import Room
 
@@ -31,11 +31,13 @@
 
 
 class Rooms:
-    """The endpoints that take starts, of all services."""
+    """The endpoints of all services, and their room."""
 
     def __init__(self) -> None:
         self._changed: dict[int, Endpoint] = {}
         self._known: dict[int, tuple[str, FreeRoom]] = {}
+        self._services: dict[int, str] = {}
+        self._members: defaultdict[str, dict[int, Endpoint]] = defaultdict(dict)
         self._takers: defaultdict[str, list[FreeRoom]] = defaultdict(list)
 
     def note(self, endpoint: Endpoint) -> None:
@@ -47,12 +49,45 @@
 
         The list is changed by later calls, not by events between them.
         """
+        self._put_changed()
+        return self._takers[service]
+
+    def members(self, service: str) -> Collection[Endpoint]:
+        """List the endpoints of a service that are not gone."""
+        self._put_changed()
+        return self._members[service].values()
+
+    def capacity(self, service: str, *, now: float) -> int:
+        """Sum up the millicores that will take starts, though not yet.
+
+        Orders are voided within milliseconds, and a new dispatcher joins all
+        endpoints as quickly.
+        """
+        return sum(
+            endpoint.report.room.millicores
+            for endpoint in self.members(service)
+            if endpoint.will_take_starts
+            and not endpoint.health.is_aside(now=now)
+        )
+
+    def _put_changed(self) -> None:
         for endpoint in self._changed.values():
-            self._put(endpoint)
+            self._put_member(endpoint)
+            self._put_taker(endpoint)
         self._changed.clear()
-        return self._takers[service]
 
-    def _put(self, endpoint: Endpoint) -> None:
+    def _put_member(self, endpoint: Endpoint) -> None:
+        number = endpoint.number
+        name = endpoint.report.service
+        known = self._services.get(number, name)
+        if known != name or endpoint.phase is Phase.gone:
+            self._members[known].pop(number, None)
+            self._services.pop(number, None)
+        if endpoint.phase is not Phase.gone:
+            self._members[name][number] = endpoint
+            self._services[number] = name
+
+    def _put_taker(self, endpoint: Endpoint) -> None:
         known = self._known.pop(endpoint.number, None)
         if known is not None:
             name, room = known
--- a/tests/fakes_pool.py
+++ b/tests/fakes_pool.py
@@ -150,6 +150,7 @@
         if draw == 0:
             endpoint.fence(2, Phase.voiding)
         elif draw == 1:
+            endpoint.phase = Phase.silent
             endpoint.clear()
         else:
             endpoint.phase = Phase.ready
--- a/tests/test_pool_queue.py
+++ b/tests/test_pool_queue.py
@@ -146,6 +146,9 @@
             ]
             work = course.queue.work_ahead(job, now=course.now)
             assert work == pytest.approx(sum(ahead))
+            running = sum(other.running_work for other in course.table.live)
+            found = course.queue.running_work(now=course.now)
+            assert found == pytest.approx(running)
 
 
 class TestBacklog:
--- a/tests/test_pool_rooms.py
+++ b/tests/test_pool_rooms.py
@@ -5,7 +5,7 @@
 import pytest
 from bench.pool import JobPlan, PoolWorld
 
-from cuminstack.pool import StartRun, Step, find_order, order_names
+from cuminstack.pool import Phase, StartRun, Step, find_order, order_names
 from cuminstack.pool._endpoint import Endpoint, Run
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import _fits as fits
@@ -96,6 +96,35 @@
         assert len(pool.queue.waiting(now=pool.now)) > 20
 
 
+class TestCapacity:
+    """Endpoints that come back, leave or change their service."""
+
+    # Guards against refusals, under load, by room that is lost, and against
+    # jobs taken for it.
+    @pytest.mark.parametrize('seed', range(4))
+    def test_load_counts_what_is_left(self, seed: int) -> None:
+        pool = RandomPool(seed)
+        for number in range(400):
+            pool.change()
+            if not number % 100:
+                pool.endpoints.pop().phase = Phase.gone
+            for service in SERVICES:
+                mine = [
+                    each
+                    for each in pool.endpoints
+                    if each.report.service == service
+                ]
+                assert set(pool.rooms.members(service)) == set(mine)
+                capacity = pool.rooms.capacity(service, now=pool.now)
+                assert capacity == sum(
+                    each.report.room.millicores
+                    for each in mine
+                    if each.phase is not Phase.silent
+                    and not each.report.draining
+                    and not each.health.is_aside(now=pool.now)
+                )
+
+
 class TestLargePool:
     """Many endpoints, most of them alike."""
 
