Blame the dispatcher's own lateness for answers that it has not read

Cause: orders and holds count as unanswered after 60 to 200 ms by the clock. A process that is late by more takes its tick before it reads the answers that have come, voids the orders of every endpoint over new connections, and is later still: a metastable failure.

Change: what a tick is late by is left out of the age of orders, but for the 30 ms that a punctual one takes, so that a process that is always late still notices lost orders, after as many ticks; and only ticks judge it.

--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -25,6 +25,7 @@
     note_start_refused,
 )
 from cuminstack.pool._orders import Order
+from cuminstack.pool._pace import Pace
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import EndpointReport
 from cuminstack.pool._refuser import Refuser
@@ -62,6 +63,7 @@
     ) -> None:
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
+        self._pace = Pace()
         self._numbers = count()
         self._rooms = Rooms()
         self._heard_at: dict[EndpointId, float] = {}
@@ -292,7 +294,11 @@
     def tick(self, *, now: float) -> Effects:
         """Do what is due; call many times a second."""
         effects: list[Effect] = []
+        late = self._pace.tick(now=now)
         for endpoint in tuple(self._endpoints.values()):
+            if late:
+                self._watch.excuse(endpoint, late, now=now)
+            effects.extend(self._watch.void_overdue(endpoint, now=now))
             effects.extend(self._watch.tend(endpoint, now=now))
             effects.extend(self._write_off(endpoint, now))
         self._jobs.sweep(now=now)
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -33,6 +33,7 @@
         key: Which.
         needs: Room that it takes.
         sent_at: When its start was ordered.
+        excused: Seconds since then in which no answer could be read.
         confirmed_at: When it was known to have begun; None if it isn't.
         stopping_at: When its stop was ordered last; None if it wasn't.
         percent: How far it was when it was last seen.
@@ -42,6 +43,7 @@
     key: RunKey
     needs: Room
     sent_at: float
+    excused: float = 0
     confirmed_at: float | None = None
     stopping_at: float | None = None
     percent: float = 0
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -58,7 +58,6 @@
     def tend(self, endpoint: Endpoint, *, now: float) -> Iterator[Effect]:
         """Do what is due at one endpoint."""
         if endpoint.phase is Phase.ready:
-            yield from self._void_overdue(endpoint, now)
             yield from self._stop_again(endpoint, now)
         hold = self._next_hold(endpoint, now)
         if hold is not None:
@@ -87,12 +86,34 @@
         if hold is not None:
             yield hold
 
-    def _void_overdue(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
+    def excuse(
+        self,
+        endpoint: Endpoint,
+        seconds: float,
+        *,
+        now: float,
+    ) -> None:
+        """Leave out a time in which no answer of an endpoint was read."""
+        endpoint.hold_sent_at = min(endpoint.hold_sent_at + seconds, now)
+        for run in endpoint.runs.values():
+            if run.confirmed_at is None:
+                run.excused = min(run.excused + seconds, now - run.sent_at)
+
+    def void_overdue(
+        self,
+        endpoint: Endpoint,
+        *,
+        now: float,
+    ) -> Iterator[Effect]:
+        """Void the orders of an endpoint that leaves one unanswered."""
+        if endpoint.phase is not Phase.ready:
+            return
         if self._is_hold_overdue(endpoint, now):
             yield from self.void(endpoint, 'hold', now=now)
             return
         overdue = any(
-            run.confirmed_at is None and now - run.sent_at > _ORDER_PATIENCE
+            run.confirmed_at is None
+            and now - run.sent_at - run.excused > _ORDER_PATIENCE
             for run in endpoint.runs.values()
         )
         if overdue:
