--- a/tests/test_pool_pace.py
+++ b/tests/test_pool_pace.py
@@ -2,8 +2,7 @@
 
 from bench.pool import JobPlan, PoolWorld
 
-from cuminstack.core import JobKey
-from cuminstack.pool import Hold, StartRun
+from cuminstack.pool import Hold, JobState, StartRun
 
 
 class _Stalled(PoolWorld):
@@ -55,3 +54,41 @@
         for _ in range(5):
             world.tick(0.2)
         assert world.fresh_holds
+
+
+class TestShedding:
+    """The process gets more work than it can do."""
+
+    # Guards against a process that takes ever more jobs while it falls
+    # behind, until it serves none in time.
+    def test_process_that_is_behind_refuses_at_once(self) -> None:
+        world = PoolWorld()
+        for _ in range(4):
+            _tick(world, 0.2)
+        world.submit(JobPlan('a', 1, 0.1))
+        assert world.results['a'].state is None
+        # One that may have run is never refused.
+        world.submit(JobPlan('b', 1, 0.1), held=0.1)
+        assert 'b' not in world.results
+
+    def test_process_that_has_caught_up_takes_jobs(self) -> None:
+        world = PoolWorld()
+        for _ in range(4):
+            _tick(world, 0.2)
+        world.run_for(0.5)
+        world.submit(JobPlan('a', 1, 0.1))
+        world.run_for(1)
+        assert world.results['a'].state is JobState.completed
+
+    # A pause of the process is no reason to refuse those who come after it.
+    def test_one_pause_refuses_nobody(self) -> None:
+        world = PoolWorld()
+        world.run_for(0.5)
+        _tick(world, 0.1)
+        world.submit(JobPlan('a', 1, 0.1))
+        assert 'a' not in world.results
+
+
+def _tick(world: PoolWorld, seconds: float) -> None:
+    world.now += seconds
+    world.perform(world.dispatcher.tick(now=world.now))
