--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -1,17 +1,16 @@
 """Gives free room to the jobs that wait for it."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId
 from cuminstack.pool._effects import Effect, Effects
 from cuminstack.pool._endpoint import Endpoint, Run
 from cuminstack.pool._exchange import StartRun
-from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Task
-from cuminstack.pool._orders import Order
 from cuminstack.pool._placement import find_endpoint
-from cuminstack.pool._records import Room
+from cuminstack.pool._queue import JobQueue, WaitingJob
+from cuminstack.pool._rooms import Rooms, Starters
 from cuminstack.pool._watch import LEASE_SECONDS
 
 #: Seconds of silence of an entry after which its jobs start nothing more.
@@ -19,50 +18,24 @@
 _FRESH_SECONDS: Final = 0.25
 
 
-class Starters:
-    """The endpoints of a service that may get starts.
-
-    Args:
-        endpoints: Those endpoints.
-    """
-
-    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
-        self.endpoints = endpoints
-        self.measure()
-
-    def measure(self) -> None:
-        """Take how much room is free at most, of each resource."""
-        rooms = [endpoint.free for endpoint in self.endpoints]
-        self._most = Room(
-            max((room.millicores for room in rooms), default=-1),
-            max((room.memory_mb for room in rooms), default=-1),
-            max((room.accelerators for room in rooms), default=-1),
-        )
-
-    def suits(self, job: Job) -> bool:
-        """Tell whether a task of a job may find room; if not, none does."""
-        return any(self._most.holds(needs) for needs in job.ready_needs)
-
-
 class Assigner:
     """Starts tasks of waiting jobs where there is room.
 
     Args:
         endpoints: All known endpoints.
-        jobs: All known jobs.
-        order: In which order waiting jobs get room.
+        rooms: Those of them that take starts.
+        queue: The waiting jobs in order.
     """
 
     def __init__(
         self,
         endpoints: dict[EndpointId, Endpoint],
-        jobs: JobTable,
-        *,
-        order: Order,
+        rooms: Rooms,
+        queue: JobQueue,
     ) -> None:
         self._endpoints = endpoints
-        self._jobs = jobs
-        self._order = order
+        self._rooms = rooms
+        self._queue = queue
         self._entries: dict[InstanceId, float] = {}
 
     def entry_heard(self, entry: InstanceId, stamp: float) -> None:
@@ -71,34 +44,34 @@
 
     def assign(self, *, now: float) -> Effects:
         """Give free room to the waiting jobs."""
-        jobs = [job for job in self._jobs.live if self._may_run(job, now)]
-        if not jobs:
-            return ()
-        services = {job.terms.service for job in jobs}
-        starters = {name: self._starters(name, now) for name in services}
-        # What finds no room needs no place in the order.
-        served = [job for job in jobs if starters[job.terms.service].suits(job)]
-        served.sort(key=lambda job: self._order(job, now))
+        least = self._queue.least_needs(now=now)
+        pools = {name: Starters(self._rooms, name, now=now) for name in least}
+        full = {name for name in least if pools[name].millicores < least[name]}
         effects: list[Effect] = []
-        for job in served:
-            effects.extend(self._place(job, starters[job.terms.service], now))
+        for waiting in self._queue.waiting(now=now):
+            if len(full) == len(pools):
+                break
+            starters = pools[waiting.service]
+            if not self._may_run(waiting, starters, now):
+                continue
+            effects.extend(self._place(waiting.job, starters, now))
+            if starters.millicores < least[waiting.service]:
+                full.add(waiting.service)
         return tuple(effects)
 
-    def pool_of(self, service: str) -> tuple[Endpoint, ...]:
-        """List the endpoints of a service."""
-        return tuple(
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.report.service == service
-        )
-
-    def _may_run(self, job: Job, now: float) -> bool:
-        """Tell whether tasks of a job may be started.
+    def _may_run(
+        self,
+        waiting: WaitingJob,
+        starters: Starters,
+        now: float,
+    ) -> bool:
+        """Tell whether tasks of a job may be started, and may find room.
 
         An entry that went silent may have gone to another dispatcher.
         """
-        if not job.ready_tasks:
+        if waiting.millicores > starters.millicores:
             return False
+        job = waiting.job
         silence = now - self._entries.get(job.submission.entry, 0)
         if silence > _FRESH_SECONDS:
             return False
@@ -108,15 +81,6 @@
             return False
         return all(endpoint.has_joined for endpoint in self._endpoints.values())
 
-    def _starters(self, service: str, now: float) -> Starters:
-        """List the endpoints that may get starts.
-
-        Those put aside are among them only if no others are left.
-        """
-        takers = [each for each in self.pool_of(service) if each.takes_starts]
-        sound = [each for each in takers if not each.health.is_aside(now=now)]
-        return Starters(sound or takers)
-
     def _place(
         self,
         job: Job,
@@ -126,8 +90,12 @@
         if not starters.suits(job):
             return
         for task in job.ready_tasks:
-            endpoint = find_endpoint(starters.endpoints, job, task, now=now)
+            needs = job.steps[task.key.step].needs
+            if needs.millicores > starters.millicores:
+                return
+            endpoint = find_endpoint(starters, job, task)
             if endpoint is None:
+                starters.missed()
                 return
             yield self._start(endpoint, job, task, now)
             starters.measure()
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -1,7 +1,7 @@
 """Jobs at the dispatcher: which tasks wait, run, or are done."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -100,6 +100,8 @@
         submission: What was handed over.
         first_number: Run numbers of its tasks are above this one.
         seconds: Expected run time of a task, for each step.
+        number: Grows with each job of a dispatcher.
+        changed: Called with the job when a task of it changes its state.
     """
 
     def __init__(
@@ -108,7 +110,11 @@
         *,
         first_number: int,
         seconds: tuple[float, ...],
+        number: int,
+        changed: Callable[['Job'], None],
     ) -> None:
+        self.number = number
+        self._changed = changed
         self.submission = submission
         self.seconds = seconds
         self.abandoned = False
@@ -225,19 +231,23 @@
     def requeue(self, task: Task) -> None:
         """Take that a task has no run any more, and has to have one."""
         task.state = TaskState.waiting
-        self._known = None
+        self._take_change()
 
     def finish(self, task: Task) -> None:
         """Take that a task is done."""
         if task.state is not TaskState.done:
             task.state = TaskState.done
             self._undone[task.key.step] -= 1
-            self._known = None
+            self._take_change()
 
     def _place(self, task: Task, endpoint: EndpointId) -> None:
         task.state = TaskState.placed
         task.endpoint = endpoint
+        self._take_change()
+
+    def _take_change(self) -> None:
         self._known = None
+        self._changed(self)
 
     def _work_out(self) -> _Standing:
         tasks = self.tasks.values()
