Look for unclaimed runs only where some were met

Cause: each submission asked every endpoint for runs of another dispatcher.

Change: the keeper of runs remembers the endpoints that list unclaimed runs, and asks those, in the order in which all were asked before.

--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -32,6 +32,8 @@
     ) -> None:
         self._endpoints = endpoints
         self._jobs = jobs
+        # Endpoints that list unclaimed runs, or did.
+        self._hosts: dict[int, Endpoint] = {}
 
     def lose(self, endpoint: Endpoint) -> Iterator[Effect]:
         """Take that nothing that was ordered runs at an endpoint."""
@@ -234,13 +236,18 @@
         now: float,
     ) -> None:
         endpoint.meet(key)
+        self._hosts[endpoint.number] = endpoint
         job = self._jobs.find(key.task.job)
         if job is not None:
             self.claim(job, now=now)
 
     def claim(self, job: Job, *, now: float) -> None:
         """Take up runs of a job that another dispatcher started."""
-        for endpoint in self._endpoints.values():
+        # The endpoint that was known first has the run, if two list it.
+        for number in sorted(self._hosts):
+            endpoint = self._hosts[number]
+            if not endpoint.strangers:
+                self._hosts.pop(number)
             for key in tuple(endpoint.strangers):
                 task = job.tasks.get(key.task)
                 if task is None or task.state is not TaskState.waiting:
--- a/tests/test_pool_rooms.py
+++ b/tests/test_pool_rooms.py
@@ -1,11 +1,20 @@
 """Where tasks go: the same place as if all endpoints were ranked anew."""
 
 from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
 
 import pytest
 from bench.pool import JobPlan, PoolWorld
 
-from cuminstack.pool import Phase, StartRun, Step, find_order, order_names
+from cuminstack.core import EndpointId, JobKey
+from cuminstack.pool import (
+    Phase,
+    RunKey,
+    StartRun,
+    Step,
+    find_order,
+    order_names,
+)
 from cuminstack.pool._endpoint import Endpoint, Run
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import _fits as fits
@@ -146,3 +155,33 @@
         world.run_for(0.05)
         assert len(world.spans) == 120
         assert len(looked_at) == 120
+
+    # Guards against a dispatcher that asks all endpoints for runs of each
+    # job that comes, and against one that forgets where it has met some.
+    def test_claim_asks_only_hosts_of_strangers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        asked: list[EndpointId] = []
+
+        def ask(endpoint: Endpoint) -> AbstractSet[RunKey]:
+            asked.append(endpoint.report.endpoint)
+            return endpoint._strangers
+
+        world = PoolWorld(workers=150)
+        for number in range(2):
+            world.submit(JobPlan(str(number), 1, 0.4))
+        world.run_for(0.05)
+        hosts = {span.worker for span in world.spans}
+        world.lead(term=2)
+        world.run_for(0.02)
+        monkeypatch.setattr(Endpoint, 'strangers', property(ask))
+        world.submit(world.plans[JobKey('0')], held=1)
+        assert set(asked) == hosts
+        world.submit(world.plans[JobKey('1')], held=1)
+        asked.clear()
+        world.submit(JobPlan('other', 1, 0.1))
+        world.submit(JobPlan('another', 1, 0.1))
+        assert set(asked) <= hosts
+        world.run_for(1)
+        world.check()
+        assert len(world.spans) == 4
