--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -124,8 +124,8 @@
     await _drain(front, seconds)
     log_event(
         'instance.drained',
-        LogLevel.error if front.requests else LogLevel.info,
-        # Those are broken off without an answer.
+        LogLevel.warning if front.requests else LogLevel.info,
+        # Jobs among them are answered before the connections close.
         requests=front.requests,
         seconds=round(steady_now() - began_at, _DIGITS),
     )
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -21,6 +21,7 @@
 from cuminstack.pool._jobs import Submission
 from cuminstack.pool._notes import (
     note_dropped,
+    note_pace,
     note_ready,
     note_start_refused,
 )
@@ -296,7 +297,10 @@
     def tick(self, *, now: float) -> Effects:
         """Do what is due; call many times a second."""
         effects: list[Effect] = []
+        was_behind = self._pace.is_behind
         late = self._pace.tick(now=now)
+        if self._pace.is_behind != was_behind:
+            effects.append(note_pace(self._pace))
         for endpoint in tuple(self._endpoints.values()):
             if late:
                 self._watch.excuse(endpoint, late, now=now)
--- a/src/cuminstack/pool/_notes.py
+++ b/src/cuminstack/pool/_notes.py
@@ -8,6 +8,7 @@
 from cuminstack.pool._endpoint import Endpoint, Run
 from cuminstack.pool._exchange import EndpointView, Refusal, StartRun
 from cuminstack.pool._jobs import Job, TaskState
+from cuminstack.pool._pace import Pace
 from cuminstack.pool._progress import Verdict
 from cuminstack.pool._records import RunKey
 
@@ -63,6 +64,17 @@
     )
 
 
+def note_pace(pace: Pace) -> Noted:
+    """Say whether the process keeps up."""
+    return Noted(
+        'dispatcher.pace',
+        (
+            ('behind', pace.is_behind),
+            ('lateness', round(pace.lateness, _DIGITS)),
+        ),
+    )
+
+
 def note_start_refused(order: StartRun, refusal: Refusal) -> Noted:
     return Noted(
         'task.start_refused',
--- a/src/cuminstack/pool/_pace.py
+++ b/src/cuminstack/pool/_pace.py
@@ -15,8 +15,8 @@
 #: Lateness of one tick that counts at most, in seconds: after a suspension
 #: of seconds a process is no longer behind than it takes to catch up.
 _MOST_SECONDS: Final = 0.2
-#: Mean lateness, in seconds, from which a process is behind: half of what
-#: may pass until a tick that is later would end the leases of entries.
+#: Mean lateness, in seconds, from which a process is behind; a quarter of
+#: the leases of entries, which must not end for lateness of ours.
 _BEHIND_SECONDS: Final = 0.1
 
 
@@ -27,6 +27,11 @@
         self._ticked_at: float | None = None
         self._lateness: float = 0
 
+    @property
+    def lateness(self) -> float:
+        """Mean lateness of ticks, in seconds."""
+        return self._lateness
+
     @property
     def is_behind(self) -> bool:
         """Whether the process can't take more work."""
--- a/tests/test_pool_pace.py
+++ b/tests/test_pool_pace.py
@@ -2,7 +2,7 @@
 
 from bench.pool import JobPlan, PoolWorld
 
-from cuminstack.pool import Hold, JobState, StartRun
+from cuminstack.pool import Hold, JobState, Noted, StartRun
 
 
 class _Stalled(PoolWorld):
@@ -71,6 +71,17 @@
         world.submit(JobPlan('b', 1, 0.1), held=0.1)
         assert 'b' not in world.results
 
+    def test_log_tells_of_it_once(self) -> None:
+        world = _stall()
+        for _ in range(8):
+            world.tick(0.2)
+        noted = [
+            dict(each.values)
+            for each in world.found
+            if isinstance(each, Noted) and each.event == 'dispatcher.pace'
+        ]
+        assert [each['behind'] for each in noted] == [True]
+
     def test_process_that_has_caught_up_takes_jobs(self) -> None:
         world = PoolWorld()
         for _ in range(4):
