Start each test of the log file with an empty file

Cause: eliot keeps messages until its first destination is added, and hands them to that one. The fixture empties the file that it has just opened; no check changes.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -31,6 +31,8 @@
 def path(tmp_path: Path) -> Iterator[Path]:
     where = tmp_path / 'some.log'
     output = configure_logs(LogSettings(LogLevel.info, where))
+    # The library keeps what is logged before there is an output.
+    where.write_text('', encoding='utf-8')
     yield where
     output.close()
 
