--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -16,9 +16,6 @@
 _NO_ENDPOINT_SECONDS: Final = 1.5
 #: When it may come back if no endpoint is large enough; one may join.
 _NO_ROOM_SECONDS: Final = 5.0
-#: When it may come back if this process is behind, in seconds; the work that
-#: it has is done by then.
-_BEHIND_SECONDS: Final = 1.0
 #: Share of the room that tasks of unequal size can use at once: three tasks
 #: of 6.8 cores fit into 24, and two into 16.
 _PACKED_SHARE: Final = 0.85
@@ -68,11 +65,6 @@
     return _refuse(job, RefusalReason.overload, wait)
 
 
-def refusal_by_late_process(job: Job) -> JobRefused:
-    """Give the refusal of a job that the process has no time for."""
-    return _refuse(job, RefusalReason.overload, _BEHIND_SECONDS)
-
-
 def is_hopeless(job: Job, *, now: float) -> bool:
     """Tell whether a job has waited too long to be of use.
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -72,9 +72,7 @@
         self._jobs = JobTable(queue, term=term)
         self._runs = RunKeeper(self._endpoints, self._jobs)
         self._assigner = Assigner(self._endpoints, self._rooms, queue)
-        self._refuser = Refuser(
-            self._jobs, Load(self._rooms, queue), self._pace
-        )
+        self._refuser = Refuser(self._jobs, Load(self._rooms, queue))
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
--- a/src/cuminstack/pool/_pace.py
+++ b/src/cuminstack/pool/_pace.py
@@ -1,7 +1,6 @@
 """How late the dispatcher's own process is.
 
-What a late process has not read yet is no one's silence, and a process that
-is behind gets further behind with each job that it takes.
+What a late process has not read yet is no one's silence.
 """
 
 from typing import Final
@@ -34,7 +33,7 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether the process can't take more work."""
+        """Whether the process is late more often than by a single pause."""
         return self._lateness > _BEHIND_SECONDS
 
     def tick(self, *, now: float) -> float:
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -5,7 +5,6 @@
 from cuminstack.pool._admission import (
     Load,
     is_hopeless,
-    refusal_by_late_process,
     refusal_of,
     refusal_of_waiting,
 )
@@ -13,7 +12,6 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._notes import note_refusal
-from cuminstack.pool._pace import Pace
 
 
 class Refuser:
@@ -22,18 +20,15 @@
     Args:
         jobs: All known jobs.
         load: What jobs have to wait for.
-        pace: Tells whether this process keeps up.
     """
 
     def __init__(
         self,
         jobs: JobTable,
         load: Load,
-        pace: Pace,
     ) -> None:
         self._jobs = jobs
         self._load = load
-        self._pace = pace
 
     def judge(self, job: Job, *, now: float) -> Effects:
         """Refuse a job that comes, or give nothing if it may be taken."""
@@ -59,8 +54,4 @@
         load = self._load
         if self._jobs.was_refused(job.submission):
             return refusal_of_waiting(job, load, now=now)
-        if job.may_have_run:
-            return None
-        if self._pace.is_behind:
-            return refusal_by_late_process(job)
-        return refusal_of(job, load, now=now)
+        return None if job.may_have_run else refusal_of(job, load, now=now)
