Count orders, answers and frames, and log them each second

Cause: the log could not tell whether a grown site is short because one process carries all orders, because its decisions cost too much, or because messages wait in links: it had neither orders nor frames, and lateness only past a threshold.

Change: each process logs instance.work once a second with what it did and its latest turn; the totals are on the page of metrics. No decision changes.

--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -54,7 +54,23 @@
         self._links: dict[InstanceId, PeerLink] = {}
         self._tasks: dict[InstanceId, asyncio.Task[None]] = {}
         self._receive = receive
-        self._listener = PeerListener(None, receive=receive, reject=reject)
+        self._sent = 0
+        self._received = 0
+        self._listener = PeerListener(
+            None,
+            receive=self._take,
+            reject=reject,
+        )
+
+    @property
+    def frames_sent(self) -> int:
+        """Frames that were given to links since the start."""
+        return self._sent
+
+    @property
+    def frames_received(self) -> int:
+        """Frames that other instances' links brought since the start."""
+        return self._received
 
     @property
     def peers(self) -> tuple[InstanceId, ...]:
@@ -98,8 +114,13 @@
                 loop.call_soon(self._receive, peer, message)
             link = self._links.get(peer)
             if link is not None:
+                self._sent += 1
                 link.send(frame)
 
+    def _take(self, sender: InstanceId, message: Any) -> None:
+        self._received += 1
+        self._receive(sender, message)
+
     def _dial(self, peer: InstanceId) -> None:
         link = PeerLink(
             Address.parse(peer),
--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -52,6 +52,16 @@
     )
 
 
+def show_work(exposition: Exposition, role: ControlRole | EntryRole) -> None:
+    """Show how much of the work that grows with the load was done."""
+    exposition.show_counter(
+        'cuminstack_work',
+        'Orders that were decided and carried, their answers, and frames.',
+        label='kind',
+        read=lambda: role.work,
+    )
+
+
 def show_entry(
     exposition: Exposition,
     own: InstanceId,
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -21,6 +21,7 @@
     show_control,
     show_entry,
     show_logs,
+    show_work,
 )
 from cuminstack.platform._operators import ControlFront
 from cuminstack.platform._settings import (
@@ -96,6 +97,7 @@
     role = EntryRole(settings.role, client=client, new_value=front.apply)
     front.attach(role)
     show_entry(exposition, settings.role.own, role)
+    show_work(exposition, role)
     await role.start()
     runners = (
         await _listen(front.make_app(), settings.callers, cancels=True),
@@ -158,6 +160,7 @@
     await client.open()
     role = ControlRole(settings.role, client=client)
     show_control(exposition, settings.role.own, role)
+    show_work(exposition, role)
     await role.start()
     runner = await _listen(
         ControlFront(role).make_app(),
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -1,7 +1,7 @@
 """An instance that may dispatch, and the dispatcher while it does."""
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 from cuminstack.core import EndpointId, InstanceId
@@ -17,9 +17,10 @@
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
 from cuminstack.pool import EndpointReport
-from cuminstack.roles._clock import steady_now
+from cuminstack.roles._clock import TICK_SECONDS, steady_now
 from cuminstack.roles._lead import Lead
 from cuminstack.roles._ports import EndpointClient
+from cuminstack.roles._work import WorkLog
 from cuminstack.settings import LogLevel
 
 #: Reports older than this, in seconds, are of endpoints that are gone.
@@ -63,6 +64,7 @@
         self._order = order
         self._client = client
         self._mesh = mesh
+        self._work = WorkLog(mesh, turn_seconds=TICK_SECONDS)
         self._lead: Lead | None = None
         self._entries: dict[InstanceId, float] = {}
         self._met_at: dict[InstanceId, float] = {}
@@ -75,6 +77,11 @@
         """Whether this instance dispatches."""
         return self._lead is not None
 
+    @property
+    def work(self) -> Mapping[str, float]:
+        """How much of each kind of work was done."""
+        return self._work.totals
+
     @property
     def term(self) -> int:
         """Term in which this instance dispatches; 0 if it doesn't."""
@@ -121,6 +128,7 @@
 
     def tick(self, *, now: float) -> None:
         """Follow the election, and dispatch."""
+        self._work.turn(now=now)
         self._election.tick(weight=self.weight(now=now), now=now)
         self.follow_election(now=now)
         if self._lead is not None:
@@ -212,6 +220,7 @@
             client=self._client,
             send=self._mesh.send,
             fenced=self._rise,
+            work=self._work,
         )
         for known, heard_at in tuple(self._reports.values()):
             if now - heard_at < _REPORT_SECONDS:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any, Final
 
@@ -96,6 +97,11 @@
         """Jobs of which nothing was started, by queue."""
         return self._candidate.waiting
 
+    @property
+    def work(self) -> Mapping[str, float]:
+        """How much of each kind of work was done."""
+        return self._candidate.work
+
     async def start(self) -> None:
         """Link up with the other control instances."""
         await self._mesh.start()
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -1,5 +1,6 @@
 """An entry that dispatches while no control instance can."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from cuminstack.core import InstanceId
@@ -49,6 +50,11 @@
         """Whether this entry dispatches."""
         return self._candidate.leads
 
+    @property
+    def work(self) -> Mapping[str, float]:
+        """How much of each kind of work its process has done."""
+        return self._candidate.work
+
     def tick(self, *, now: float) -> None:
         """Do what is due; call it every 20 ms."""
         self._turns += 1
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from cuminstack.core import InstanceId, JobKey, Send
@@ -86,6 +86,11 @@
         """Jobs of which nothing was started, by queue."""
         return self._waiting
 
+    @property
+    def work(self) -> Mapping[str, float]:
+        """How much of each kind of work was done."""
+        return self._deputy.work
+
     async def start(self) -> None:
         """Link up with the control instances."""
         await self._mesh.start()
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -23,6 +23,7 @@
 )
 from cuminstack.roles._clock import steady_now
 from cuminstack.roles._ports import EndpointClient
+from cuminstack.roles._work import Work, WorkLog
 from cuminstack.settings import LogLevel
 
 Sender = Callable[[InstanceId, Any], None]
@@ -38,6 +39,7 @@
         client: Carries orders to endpoints.
         fenced: Called when endpoints obey a later term.
         send: Sends a message to an instance.
+        work: Counts what is done.
     """
 
     def __init__(
@@ -49,8 +51,10 @@
         client: EndpointClient,
         send: Sender,
         fenced: Callable[[], None],
+        work: WorkLog,
     ) -> None:
         self._fenced = fenced
+        self._work = work
         self._term = term
         self._client = client
         self._send = send
@@ -131,12 +135,15 @@
                 case Send():
                     self._send(effect.to, effect.message)
                 case StartRun():
+                    self._work.add(Work.starts_decided)
                     self._spawn(self._start(effect))
                 case Hold():
+                    self._work.add(Work.holds_decided)
                     self._spawn(self._hold(effect))
                 case Fenced():
                     self._fenced()
                 case StopRun():
+                    self._work.add(Work.stops_decided)
                     self._spawn(self._client.stop(effect))
                 case Noted():
                     log_event(
@@ -146,6 +153,7 @@
                     )
 
     def _spawn(self, order: Coroutine[Any, Any, None]) -> None:
+        self._work.add(Work.orders_carried)
         task = asyncio.create_task(order)
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
@@ -154,6 +162,7 @@
         asked_at = steady_now()
         answer = await self._client.start(order)
         now = steady_now()
+        self._work.add(Work.answers_taken)
         if isinstance(answer, Started):
             take = partial(self._dispatcher.start_answered, asked_at=asked_at)
             self._convey(take(order, answer.clock_ms, now=now))
@@ -169,6 +178,7 @@
         asked_at = steady_now()
         answer = await self._client.hold(order)
         now = steady_now()
+        self._work.add(Work.answers_taken)
         if isinstance(answer, EndpointView):
             take = partial(self._dispatcher.hold_answered, asked_at=asked_at)
             self._convey(take(order, answer, now=now))
