Show that one process carries every order

Two counts that need no clock fail on this code: the dispatcher's instance carries 60 of 60 orders beside two idle control instances, and a tick visits 176 of 176 endpoints though something runs at one.

--- /dev/null
+++ b/tests/test_order_load.py
@@ -0,0 +1,197 @@
+"""What a dispatcher's instance has to do for each task, counted.
+
+The pattern is a convoy at one loop: work that grows with tasks or endpoints
+must not all be done by the process that decides.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from bench._polling import until
+from bench._ports import LOOPBACK, free_ports
+from bench.pool import SERVICE, FakeWorker, JobPlan, PoolWorld
+
+from cuminstack.core import EndpointId, InstanceId, JobKey
+from cuminstack.fleet import Completed
+from cuminstack.pool import (
+    EndpointView,
+    Hold,
+    JobRequest,
+    JobState,
+    OrderRefused,
+    QueueTerms,
+    Room,
+    Started,
+    StartRun,
+    Step,
+    StopRun,
+)
+from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
+
+PATIENCE = 30
+TERMS = QueueTerms('queue', SERVICE, stretch=2, slack=5)
+CONTROLS = 3
+ENDPOINTS = 6
+JOBS = 12
+WIDTH = 3
+#: Endpoints of the largest deployment that is played.
+MANY_ENDPOINTS = 176
+
+
+class _Orders:
+    """Carries orders to workers in memory, and counts them."""
+
+    def __init__(self, workers: dict[EndpointId, FakeWorker]) -> None:
+        self._workers = workers
+        self.carried = 0
+
+    async def start(self, order: StartRun) -> Started | OrderRefused:
+        self.carried += 1
+        worker = self._workers[order.endpoint]
+        return worker.start(order, 0.05, 1000, poison=False, now=steady_now())
+
+    async def stop(self, order: StopRun) -> None:
+        self.carried += 1
+        self._workers[order.endpoint].stop(order, steady_now())
+
+    async def hold(self, order: Hold) -> EndpointView | OrderRefused:
+        self.carried += 1
+        worker = self._workers[order.endpoint]
+        refusal = worker.take_hold(order, steady_now())
+        if refusal is not None:
+            return refusal
+        give_up = steady_now() + order.wait_ms / 1000
+        while not worker.ends and steady_now() < give_up:
+            await asyncio.sleep(0.01)
+            worker.advance(steady_now())
+        return worker.view(steady_now())
+
+
+class _Fleet:
+    """Three control instances, an entry and some endpoints."""
+
+    def __init__(self, folder: Path) -> None:
+        names = [
+            InstanceId(f'{LOOPBACK}:{port}')
+            for port in free_ports(CONTROLS + 1)
+        ]
+        self._folder = folder
+        self._seeds = tuple(names[:CONTROLS])
+        workers = (
+            FakeWorker(f'w{number}', 16000, rate=1)
+            for number in range(ENDPOINTS)
+        )
+        self.workers = {EndpointId(each.name): each for each in workers}
+        self.clients = {name: _Orders(self.workers) for name in names}
+        self.controls = {
+            name: ControlRole(
+                self._settings(name, folder / str(number)),
+                client=self.clients[name],
+            )
+            for number, name in enumerate(self._seeds)
+        }
+        self.entry = EntryRole(
+            self._settings(names[-1], None),
+            client=self.clients[names[-1]],
+            new_value=lambda state: None,
+        )
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        for control in self.controls.values():
+            await control.start()
+        await self.entry.start()
+        reporter = asyncio.create_task(self._report())
+        yield
+        reporter.cancel()
+        await self.entry.stop()
+        for control in self.controls.values():
+            await control.stop()
+
+    async def is_settled(self) -> bool:
+        """Tell whether all controls know all endpoints, and one leads."""
+        leader = self.entry.dispatcher
+        return leader in self.controls and all(
+            control.endpoints == ENDPOINTS for control in self.controls.values()
+        )
+
+    async def run_jobs(self) -> None:
+        for turn in range(JOBS):
+            step = Step(count=WIDTH, needs=Room(1000, 64), estimate=0.05)
+            request = JobRequest(JobKey(f'job{turn}'), 'queue', '', (step,))
+            answer = await self.entry.run_job(request, TERMS, seconds=20)
+            assert answer == Completed(JobState.completed)
+
+    def _settings(self, own: InstanceId, folder: Path | None) -> RoleSettings:
+        if folder is not None:
+            folder.mkdir()
+        return RoleSettings(
+            own=own,
+            zone='zone',
+            controls=self._seeds,
+            first_start=True,
+            tolerated=1,
+            data_folder=folder,
+            order='useful-first',
+        )
+
+    async def _report(self) -> None:
+        first = next(iter(self.controls.values()))
+        while True:
+            for worker in self.workers.values():
+                first.observe(worker.report())
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.asyncio
+class TestCarriers:
+    """Who carries orders to endpoints."""
+
+    # Guards against SHORT on days of high load: the one process that decides
+    # also carried every order, while the others idled.
+    async def test_dispatcher_does_not_carry_all_orders(
+        self, tmp_path: Path
+    ) -> None:
+        fleet = _Fleet(tmp_path)
+        async with fleet.run():
+            await until(fleet.is_settled, seconds=PATIENCE)
+            # A dispatcher that has only begun may not know the others yet.
+            await asyncio.sleep(1)
+            for client in fleet.clients.values():
+                client.carried = 0
+            await fleet.run_jobs()
+            leader = fleet.entry.dispatcher
+            assert leader is not None
+            carried = [each.carried for each in fleet.clients.values()]
+            assert sum(carried) >= 2 * JOBS
+            # An even share at most.
+            own = fleet.clients[leader].carried
+            assert own * CONTROLS <= sum(carried)
+
+
+class TestTicks:
+    """What a tick of the dispatcher looks at."""
+
+    # Guards against costs that grow with endpoints and ticks though nothing
+    # happened at the endpoint.
+    def test_idle_endpoints_are_not_visited(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        world = PoolWorld(workers=MANY_ENDPOINTS)
+        world.submit(JobPlan('a', 1, 5, patience=20))
+        world.run_for(0.5)
+        watch = world.dispatcher._watch
+        visits: list[str] = []
+        tend = watch.tend
+
+        def visit(endpoint, *, now):  # type: ignore[no-untyped-def]
+            visits.append(endpoint.report.endpoint)
+            return tend(endpoint, now=now)
+
+        monkeypatch.setattr(watch, 'tend', visit)
+        world.dispatcher.tick(now=world.now + 0.02)
+        # The one with a run; its hold may be due.
+        assert len(visits) <= 1
