Have other control instances carry the dispatcher's orders

Cause: one process carried every order. From then on it is 0.1 s late at each turn, so that orders count as unanswered, leases end and dispatchers change. Class: work that grows with the load is bound to the one process that has to decide in time.

Change: the dispatcher decides, and gives its orders in batches to the other control instances (a deputy: to entries), those in the endpoint's zone first. Carriers hold nothing: each order bears its token and the end of its lease, and one without an answer is voided through another carrier, as before.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -8,7 +8,13 @@
     MayHaveRun,
     NotRun,
 )
-from cuminstack.fleet._deputies import DeputyElection, choose_deputies
+from cuminstack.fleet._carriage import Carriage, OrderAnswered
+from cuminstack.fleet._carry_messages import CARRY_SECONDS, Carried, Carry
+from cuminstack.fleet._deputies import (
+    DeputyElection,
+    choose_deputies,
+    choose_spread,
+)
 from cuminstack.fleet._election import SILENCE_SECONDS, Election
 from cuminstack.fleet._entry_desk import EntryDesk
 from cuminstack.fleet._job_desk import JobDesk, Order
@@ -27,9 +33,13 @@
 )
 
 __all__ = (
+    'CARRY_SECONDS',
     'SILENCE_SECONDS',
     'Answer',
     'Answered',
+    'Carriage',
+    'Carried',
+    'Carry',
     'Completed',
     'ControlBeat',
     'DeputyElection',
@@ -46,9 +56,11 @@
     'MayHaveRun',
     'NotRun',
     'Order',
+    'OrderAnswered',
     'Refused',
     'Submit',
     'Taken',
     'Unknown',
     'choose_deputies',
+    'choose_spread',
 )
--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -31,14 +31,23 @@
 
 
 def choose_deputies(entries: Iterable[InstanceId]) -> tuple[InstanceId, ...]:
-    """Choose entries that are spread over all, in the order of their names.
+    """Choose the entries that stand in for control instances."""
+    return choose_spread(entries, most=_DEPUTIES)
+
+
+def choose_spread(
+    instances: Iterable[InstanceId],
+    *,
+    most: int,
+) -> tuple[InstanceId, ...]:
+    """Choose some that are spread over all, in the order of their names.
 
     Machines of a zone have neighbouring addresses, which name them.
     """
-    names = sorted(entries)
-    if len(names) <= _DEPUTIES:
+    names = sorted(instances)
+    if len(names) <= most:
         return tuple(names)
-    places = (len(names) * turn // _DEPUTIES for turn in range(_DEPUTIES))
+    places = (len(names) * turn // most for turn in range(most))
     return tuple(names[place] for place in places)
 
 
--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -107,13 +107,14 @@
 
     def send_all(self, peers: Iterable[InstanceId], message: Any) -> None:
         """Send a message to several instances, this one perhaps included."""
-        frame = wire.encode(message)
+        frame: bytes | None = None
         for peer in peers:
             if peer == self._own:
                 loop = asyncio.get_running_loop()
                 loop.call_soon(self._receive, peer, message)
             link = self._links.get(peer)
             if link is not None:
+                frame = frame or wire.encode(message)
                 self._sent += 1
                 link.send(frame)
 
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -1,11 +1,13 @@
 """An instance that may dispatch, and the dispatcher while it does."""
 
-import zlib
+import secrets
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 from cuminstack.core import EndpointId, InstanceId
 from cuminstack.fleet import (
+    Carried,
+    Carry,
     Dropped,
     Election,
     EndpointLeft,
@@ -13,10 +15,12 @@
     EntryBeat,
     LeaderBeat,
     Submit,
+    choose_spread,
 )
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
 from cuminstack.pool import EndpointReport
+from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._clock import TICK_SECONDS, steady_now
 from cuminstack.roles._lead import Lead
 from cuminstack.roles._ports import EndpointClient
@@ -30,6 +34,11 @@
 _WARM_SECONDS: Final = 4.0
 #: Silence of an entry, in seconds, that ends the touch with it.
 _TOUCH_SECONDS: Final = 1.2
+#: Entries that carry orders for one that stands in: together they have about
+#: the processor time of the control instances.
+_ENTRY_CARRIERS: Final = 12
+#: Bits of the number of a dispatcher's orders; two never share one by chance.
+_SESSION_BITS: Final = 48
 #: Seconds of silence after which an entry is not sent heartbeats any more.
 _ENTRY_SECONDS: Final = 10.0
 
@@ -39,6 +48,7 @@
 
     Args:
         own: This instance.
+        zone: Its availability zone.
         election: Decides whether it dispatches.
         order: Name of the order in which waiting jobs get room.
         client: Carries orders to endpoints.
@@ -51,6 +61,7 @@
         self,
         own: InstanceId,
         *,
+        zone: str,
         election: Election,
         order: str,
         client: EndpointClient,
@@ -62,9 +73,14 @@
         self._own = own
         self._election = election
         self._order = order
-        self._client = client
         self._mesh = mesh
         self._work = WorkLog(mesh, turn_seconds=TICK_SECONDS)
+        self._carrier = Carrier(
+            zone=zone,
+            client=client,
+            send=mesh.send,
+            work=self._work,
+        )
         self._lead: Lead | None = None
         self._entries: dict[InstanceId, float] = {}
         self._met_at: dict[InstanceId, float] = {}
@@ -132,7 +148,12 @@
         self._election.tick(weight=self.weight(now=now), now=now)
         self.follow_election(now=now)
         if self._lead is not None:
-            self._lead.tick(now=now)
+            self._lead.tick(self._carriers(now), now=now)
+
+    def stop(self) -> None:
+        """Dispatch no more, and carry no more orders."""
+        self.resign()
+        self._carrier.stop()
 
     def follow_election(self, *, now: float) -> None:
         """Begin to dispatch, go on in a later term, or stop."""
@@ -154,7 +175,6 @@
             term=self._lead.term,
             highest_term=self._election.highest_term,
         )
-        self._lead.stop()
         self._lead = None
         beat = LeaderBeat(
             term=0,
@@ -190,6 +210,10 @@
                 self.forget(EndpointId(message.endpoint), now=now)
             case Dropped() if self._lead is not None:
                 self._lead.drop(sender, message, now=now)
+            case Carry():
+                self._carrier.receive(sender, message, now=now)
+            case Carried() if self._lead is not None:
+                self._lead.carried(sender, message, now=now)
             case Submit() if self._lead is not None:
                 self._submit(self._lead, sender, message, now)
 
@@ -215,17 +239,26 @@
         )
         self._lead = Lead(
             term,
-            instance=zlib.crc32(self._own.encode()),
+            own=self._own,
             order=self._order,
-            client=self._client,
+            session=secrets.randbits(_SESSION_BITS),
             send=self._mesh.send,
             fenced=self._rise,
             work=self._work,
+            now=now,
         )
         for known, heard_at in tuple(self._reports.values()):
             if now - heard_at < _REPORT_SECONDS:
                 self._lead.observe(known, now=now)
 
+    def _carriers(self, now: float) -> tuple[InstanceId, ...]:
+        """List the instances that may carry orders for this one."""
+        controls = self._election.live(now=now)
+        if not self._is_deputy:
+            return controls
+        entries = set(self.touched(now=now)) - {self._own}
+        return choose_spread(entries, most=_ENTRY_CARRIERS)
+
     def _rise(self) -> None:
         self._election.fenced(now=steady_now())
 
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -70,6 +70,7 @@
         )
         self._candidate = Candidate(
             settings.own,
+            zone=settings.zone,
             election=self._election,
             order=settings.order,
             client=client,
@@ -120,7 +121,7 @@
         """Stop dispatching and close all links."""
         if self._ticker is not None:
             self._ticker.cancel()
-        self._candidate.resign()
+        self._candidate.stop()
         await self._mesh.stop()
 
     def observe(self, report: EndpointReport) -> None:
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -38,6 +38,7 @@
         self._election = DeputyElection(settings.own, now=steady_now())
         self._candidate = Candidate(
             settings.own,
+            zone=settings.zone,
             election=self._election,
             order=settings.order,
             client=client,
@@ -71,6 +72,10 @@
         self._election.leave()
         self._candidate.resign()
 
+    def stop(self) -> None:
+        """Carry no more orders, as this entry ends."""
+        self._candidate.stop()
+
     def hear_leader(self, beat: LeaderBeat, *, now: float) -> None:
         """Take a heartbeat of a control instance, or of another deputy."""
         if beat.from_deputy:
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -101,7 +101,7 @@
         """Close all links; jobs in progress are dropped."""
         if self._ticker is not None:
             self._ticker.cancel()
-        self._deputy.resign()
+        self._deputy.stop()
         await self._mesh.stop()
 
     def leave(self, *, seconds: float) -> None:
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -1,19 +1,32 @@
 """Runs the dispatcher of one term: gives orders and takes their answers."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import zlib
+from collections.abc import Callable, Iterable
 from functools import partial
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Final
 
 from cuminstack.core import EndpointId, InstanceId, Send
-from cuminstack.fleet import Dropped, EntryBeat, JobDesk, Submit
+from cuminstack.fleet import (
+    Carriage,
+    Carried,
+    Dropped,
+    EntryBeat,
+    JobDesk,
+    Order,
+    OrderAnswered,
+    Submit,
+)
 from cuminstack.logs import log_event
 from cuminstack.pool import (
     Dispatcher,
+    Effects,
     EndpointReport,
     EndpointView,
     Fenced,
     Hold,
+    NoAnswer,
     Noted,
     OrderRefused,
     Started,
@@ -22,11 +35,19 @@
     find_order,
 )
 from cuminstack.roles._clock import steady_now
-from cuminstack.roles._ports import EndpointClient
 from cuminstack.roles._work import Work, WorkLog
 from cuminstack.settings import LogLevel
 
 Sender = Callable[[InstanceId, Any], None]
+Answer = Started | OrderRefused | EndpointView
+
+_DECIDED: Final = MappingProxyType(
+    {
+        StartRun: Work.starts_decided,
+        Hold: Work.holds_decided,
+        StopRun: Work.stops_decided,
+    },
+)
 
 
 class Lead:
@@ -34,34 +55,36 @@
 
     Args:
         term: Number of the term.
-        instance: Number of this instance.
+        own: This instance.
         order: Name of the order in which waiting jobs get room.
-        client: Carries orders to endpoints.
-        fenced: Called when endpoints obey a later term.
+        session: Differs from that of every other dispatcher's orders.
         send: Sends a message to an instance.
+        fenced: Called when endpoints obey a later term.
         work: Counts what is done.
+        now: The present time.
     """
 
     def __init__(
         self,
         term: int,
         *,
-        instance: int,
+        own: InstanceId,
         order: str,
-        client: EndpointClient,
+        session: int,
         send: Sender,
         fenced: Callable[[], None],
         work: WorkLog,
+        now: float,
     ) -> None:
         self._fenced = fenced
         self._work = work
         self._term = term
-        self._client = client
         self._send = send
-        self._orders: set[asyncio.Task[None]] = set()
+        self._flushes = False
+        self._carriage = Carriage(own, session=session, now=now)
         dispatcher = Dispatcher(
             term=term,
-            instance=instance,
+            instance=zlib.crc32(own.encode()),
             order=find_order(order),
         )
         self._dispatcher = dispatcher
@@ -82,11 +105,6 @@
         """Jobs of which nothing was started, by queue."""
         return self._dispatcher.waiting
 
-    def stop(self) -> None:
-        """Give no more orders."""
-        for task in self._orders:
-            task.cancel()
-
     def begin_term(self, term: int, *, now: float) -> None:
         """Go on in a later term."""
         log_event('dispatcher.new_term', LogLevel.warning, term=term)
@@ -95,6 +113,7 @@
 
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Take a heartbeat of an endpoint."""
+        self._carriage.locate(report)
         self._perform(self._desk.observe(report, now=now))
 
     def leave(self, endpoint: EndpointId, *, now: float) -> None:
@@ -121,8 +140,29 @@
         """Take a heartbeat of an entry."""
         self._perform(self._desk.hear(entry, beat, now=now))
 
-    def tick(self, *, now: float) -> None:
-        """Do what is due."""
+    def carried(
+        self,
+        carrier: InstanceId,
+        message: Carried,
+        *,
+        now: float,
+    ) -> None:
+        """Take what a carrier says of orders."""
+        for answered in self._carriage.receive(carrier, message):
+            self._work.add(Work.answers_taken)
+            self._convey(self._take(answered, now))
+        self._send_orders(now)
+
+    def tick(self, carriers: Iterable[InstanceId], *, now: float) -> None:
+        """Do what is due.
+
+        Args:
+            carriers: Other instances that may carry orders.
+            now: The present time.
+        """
+        for each in self._carriage.ask(carriers, now=now):
+            self._send(each.to, each.message)
+        self._send_orders(now)
         self._perform(self._desk.tick(now=now))
         self._convey(self._dispatcher.tick(now=now))
 
@@ -134,17 +174,10 @@
             match effect:
                 case Send():
                     self._send(effect.to, effect.message)
-                case StartRun():
-                    self._work.add(Work.starts_decided)
-                    self._spawn(self._start(effect))
-                case Hold():
-                    self._work.add(Work.holds_decided)
-                    self._spawn(self._hold(effect))
+                case StartRun() | Hold() | StopRun():
+                    self._give(effect)
                 case Fenced():
                     self._fenced()
-                case StopRun():
-                    self._work.add(Work.stops_decided)
-                    self._spawn(self._client.stop(effect))
                 case Noted():
                     log_event(
                         effect.event,
@@ -152,40 +185,61 @@
                         **dict(effect.values),
                     )
 
-    def _spawn(self, order: Coroutine[Any, Any, None]) -> None:
-        self._work.add(Work.orders_carried)
-        task = asyncio.create_task(order)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
-
-    async def _start(self, order: StartRun) -> None:
-        asked_at = steady_now()
-        answer = await self._client.start(order)
-        now = steady_now()
-        self._work.add(Work.answers_taken)
-        if isinstance(answer, Started):
-            take = partial(self._dispatcher.start_answered, asked_at=asked_at)
-            self._convey(take(order, answer.clock_ms, now=now))
-        elif isinstance(answer, OrderRefused):
-            refusal = answer.refusal
-            self._convey(
-                self._dispatcher.start_refused(order, refusal, now=now),
-            )
-        else:
-            self._convey(self._dispatcher.unanswered(order, now=now))
-
-    async def _hold(self, order: Hold) -> None:
-        asked_at = steady_now()
-        answer = await self._client.hold(order)
-        now = steady_now()
-        self._work.add(Work.answers_taken)
-        if isinstance(answer, EndpointView):
-            take = partial(self._dispatcher.hold_answered, asked_at=asked_at)
-            self._convey(take(order, answer, now=now))
-        elif isinstance(answer, OrderRefused):
-            refusal = answer.refusal
-            self._convey(
-                self._dispatcher.hold_refused(order, refusal, now=now),
-            )
-        else:
-            self._convey(self._dispatcher.unanswered(order, now=now))
+    def _give(self, order: Order) -> None:
+        self._work.add(_DECIDED[type(order)])
+        self._carriage.give(order)
+        if not self._flushes:
+            # What else is decided in this turn of the loop goes along.
+            self._flushes = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flushes = False
+        self._send_orders(steady_now())
+
+    def _send_orders(self, now: float) -> None:
+        for each in self._carriage.collect(now=now):
+            self._send(each.to, each.message)
+
+    def _take(self, answered: OrderAnswered, now: float) -> Effects:
+        """Take what an endpoint answered to an order."""
+        order = answered.order
+        answer = answered.answer
+        if isinstance(answer, NoAnswer):
+            return self._dispatcher.unanswered(order, now=now)
+        if isinstance(order, StartRun):
+            return self._take_start(order, answer, answered.asked_at, now)
+        return self._take_hold(order, answer, answered.asked_at, now)
+
+    def _take_start(
+        self,
+        order: StartRun,
+        answer: Answer,
+        asked_at: float,
+        now: float,
+    ) -> Effects:
+        match answer:
+            case Started():
+                clock = answer.clock_ms
+                take = partial(self._dispatcher.start_answered, order, clock)
+                return take(asked_at=asked_at, now=now)
+            case OrderRefused():
+                refusal = answer.refusal
+                return self._dispatcher.start_refused(order, refusal, now=now)
+        return ()
+
+    def _take_hold(
+        self,
+        order: Hold,
+        answer: Answer,
+        asked_at: float,
+        now: float,
+    ) -> Effects:
+        match answer:
+            case EndpointView():
+                take = partial(self._dispatcher.hold_answered, order, answer)
+                return take(asked_at=asked_at, now=now)
+            case OrderRefused():
+                refusal = answer.refusal
+                return self._dispatcher.hold_refused(order, refusal, now=now)
+        return ()
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -175,6 +175,9 @@
     def meet(self, peers: object) -> None:
         """Keep no link."""
 
+    def send(self, peer: InstanceId, message: object) -> None:
+        """Drop a message."""
+
 
 class TestTouch:
     """How long a dispatcher has been in touch with an entry."""
@@ -183,6 +186,7 @@
         own, entry = InstanceId('c1'), InstanceId('e1')
         candidate = Candidate(
             own,
+            zone='zone',
             election=Election(own, now=100),
             order='useful-first',
             client=_Orders(FakeWorker('w0', 16000, rate=1)),
