Test that jobs outlive a carrier that dies or hangs

A carrier that is gone leaves orders without an answer; one that hangs carries them out after they were voided. In both cases all jobs complete, and no task runs twice at a time (tests/test_order_load.py). The check of that is shared with the pool's simulated world. No change of the code.

--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -1,7 +1,8 @@
 """A worker as its contract describes it, on simulated time."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import count
+from itertools import count, pairwise
 
 from cuminstack.core import EndpointId, ZoneName
 from cuminstack.pool import (
@@ -36,6 +37,19 @@
     kind: EndKind | None = None
 
 
+def check_once_at_a_time(spans: Iterable[Span]) -> None:
+    """Check that no task ran twice at a time."""
+    by_task: dict[TaskKey, list[Span]] = {}
+    for each in spans:
+        by_task.setdefault(each.run.task, []).append(each)
+    for runs in by_task.values():
+        runs.sort(key=lambda run: run.begun)
+        for earlier, later in pairwise(runs):
+            ended = earlier.ended
+            assert ended is not None, (earlier, later)
+            assert ended <= later.begun, (earlier, later)
+
+
 @dataclass
 class _Running:
     span: Span
--- a/bench/pool/_world.py
+++ b/bench/pool/_world.py
@@ -5,9 +5,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from itertools import count, pairwise
+from itertools import count
 
-from bench.pool._worker import SERVICE, FakeWorker, Span
+from bench.pool._worker import (
+    SERVICE,
+    FakeWorker,
+    Span,
+    check_once_at_a_time,
+)
 from cuminstack.core import InstanceId, JobKey
 from cuminstack.pool import (
     Dispatcher,
@@ -25,7 +30,6 @@
     Step,
     StopRun,
     Submission,
-    TaskKey,
     find_order,
 )
 
@@ -178,15 +182,7 @@
         """Check what must always hold."""
         for worker in self.workers.values():
             assert not worker.overfull, worker.name
-        by_task: dict[TaskKey, list[Span]] = {}
-        for each in self.spans:
-            by_task.setdefault(each.run.task, []).append(each)
-        for runs in by_task.values():
-            runs.sort(key=lambda run: run.begun)
-            for earlier, later in pairwise(runs):
-                ended = earlier.ended
-                assert ended is not None, (earlier, later)
-                assert ended <= later.begun, (earlier, later)
+        check_once_at_a_time(self.spans)
 
     def perform(self, effects: tuple[object, ...]) -> None:
         for effect in effects:
--- a/tests/test_order_load.py
+++ b/tests/test_order_load.py
@@ -12,7 +12,14 @@
 import pytest
 from bench._polling import until
 from bench._ports import LOOPBACK, free_ports
-from bench.pool import SERVICE, FakeWorker, JobPlan, PoolWorld
+from bench.pool import (
+    SERVICE,
+    FakeWorker,
+    JobPlan,
+    PoolWorld,
+    check_once_at_a_time,
+)
+from bench.pool._worker import Span
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
 from cuminstack.fleet import Completed
@@ -38,6 +45,7 @@
 ENDPOINTS = 6
 JOBS = 12
 WIDTH = 3
+HANG_SECONDS = 0.4
 #: Endpoints of the largest deployment that is played.
 MANY_ENDPOINTS = 176
 
@@ -48,19 +56,18 @@
     def __init__(self, workers: dict[EndpointId, FakeWorker]) -> None:
         self._workers = workers
         self.carried = 0
+        self.hangs = False
 
     async def start(self, order: StartRun) -> Started | OrderRefused:
-        self.carried += 1
-        worker = self._workers[order.endpoint]
+        worker = await self._reach(order)
         return worker.start(order, 0.05, 1000, poison=False, now=steady_now())
 
     async def stop(self, order: StopRun) -> None:
-        self.carried += 1
-        self._workers[order.endpoint].stop(order, steady_now())
+        worker = await self._reach(order)
+        worker.stop(order, steady_now())
 
     async def hold(self, order: Hold) -> EndpointView | OrderRefused:
-        self.carried += 1
-        worker = self._workers[order.endpoint]
+        worker = await self._reach(order)
         refusal = worker.take_hold(order, steady_now())
         if refusal is not None:
             return refusal
@@ -70,6 +77,13 @@
             worker.advance(steady_now())
         return worker.view(steady_now())
 
+    async def _reach(self, order: StartRun | StopRun | Hold) -> FakeWorker:
+        self.carried += 1
+        if self.hangs:
+            # What is carried late is carried after it was voided.
+            await asyncio.sleep(HANG_SECONDS)
+        return self._workers[order.endpoint]
+
 
 class _Fleet:
     """Three control instances, an entry and some endpoints."""
@@ -112,6 +126,20 @@
         for control in self.controls.values():
             await control.stop()
 
+    @property
+    def spans(self) -> list[Span]:
+        return [
+            span for worker in self.workers.values() for span in worker.spans
+        ]
+
+    async def cut_power(self, name: InstanceId) -> None:
+        """End a control instance without a word."""
+        control = self.controls[name]
+        assert control._ticker is not None
+        control._ticker.cancel()
+        control._candidate._carrier.stop()
+        await control._mesh.stop()
+
     async def is_settled(self) -> bool:
         """Tell whether all controls know all endpoints, and one leads."""
         leader = self.entry.dispatcher
@@ -172,6 +200,27 @@
             own = fleet.clients[leader].carried
             assert own * CONTROLS <= sum(carried)
 
+    # Guards against jobs that wait for a carrier which is gone, or run twice
+    # as it goes on.
+    @pytest.mark.parametrize('hangs', [True, False])
+    async def test_jobs_outlive_a_carrier(
+        self, tmp_path: Path, *, hangs: bool
+    ) -> None:
+        fleet = _Fleet(tmp_path)
+        async with fleet.run():
+            await until(fleet.is_settled, seconds=PATIENCE)
+            await asyncio.sleep(1)
+            running = asyncio.create_task(fleet.run_jobs())
+            await asyncio.sleep(0.2)
+            leader = fleet.entry.dispatcher
+            lost = next(name for name in fleet.controls if name != leader)
+            if hangs:
+                fleet.clients[lost].hangs = True
+            else:
+                await fleet.cut_power(lost)
+            await running
+        check_once_at_a_time(fleet.spans)
+
 
 class TestTicks:
     """What a tick of the dispatcher looks at."""
