Have entries carry orders where hardly any control instance can

Cause, found by looking for the same one elsewhere: a dispatcher that is cut off from the other control instances in one or both directions, or that lost all of them, would carry every order itself again; the callers would see what they saw before. Entries are still in touch with it then.

--- a/src/cuminstack/fleet/_carriage.py
+++ b/src/cuminstack/fleet/_carriage.py
@@ -35,6 +35,8 @@
 #: Requests of which a carrier has to have answered one.  They are counted, as
 #: a dispatcher that is late itself must not take its carriers for lost.
 _ECHOES: Final = 3
+#: Carriers that are too few for all orders of a deployment.
+_FEW_CARRIERS: Final = 2
 #: Seconds for which orders wait for the first echoes; these take one way and
 #: back between availability zones.
 _SETTLE_SECONDS: Final = 0.03
@@ -125,21 +127,28 @@
 
     def ask(
         self,
-        candidates: Iterable[InstanceId],
+        preferred: Iterable[InstanceId],
+        others: Iterable[InstanceId] = (),
         *,
         now: float,
     ) -> tuple[Send, ...]:
         """Ask for echoes if it is time; forget orders that were voided.
 
         Args:
-            candidates: Other instances that may carry orders.
+            preferred: Other instances that may carry orders.
+            others: Those that do if hardly any of the preferred can.
             now: The present time.
         """
         self._forget_old(now)
         if self._asked and now - self._asked[-1] < _ECHO_SECONDS:
             return ()
         self._asked.append(now)
-        self._candidates = tuple(candidates)
+        self._candidates = tuple(preferred)
+        self._refresh()
+        is_new = now - self._begun_at < _SETTLE_SECONDS
+        if len(self._usable) < _FEW_CARRIERS and not is_new:
+            self._candidates = (*self._candidates, *others)
+            self._refresh()
         carry = Carry(self._session, now)
         return tuple(Send(name, carry) for name in self._candidates)
 
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -34,8 +34,8 @@
 _WARM_SECONDS: Final = 4.0
 #: Silence of an entry, in seconds, that ends the touch with it.
 _TOUCH_SECONDS: Final = 1.2
-#: Entries that carry orders for one that stands in: together they have about
-#: the processor time of the control instances.
+#: Entries that carry orders where hardly any control instance can: together
+#: they have about the processor time of the control instances.
 _ENTRY_CARRIERS: Final = 12
 #: Bits of the number of a dispatcher's orders; two never share one by chance.
 _SESSION_BITS: Final = 48
@@ -148,7 +148,12 @@
         self._election.tick(weight=self.weight(now=now), now=now)
         self.follow_election(now=now)
         if self._lead is not None:
-            self._lead.tick(self._carriers(now), now=now)
+            entries = self._entry_carriers(now)
+            if self._is_deputy:
+                self._lead.tick(entries, (), now=now)
+            else:
+                controls = self._election.live(now=now)
+                self._lead.tick(controls, entries, now=now)
 
     def stop(self) -> None:
         """Dispatch no more, and carry no more orders."""
@@ -251,11 +256,7 @@
             if now - heard_at < _REPORT_SECONDS:
                 self._lead.observe(known, now=now)
 
-    def _carriers(self, now: float) -> tuple[InstanceId, ...]:
-        """List the instances that may carry orders for this one."""
-        controls = self._election.live(now=now)
-        if not self._is_deputy:
-            return controls
+    def _entry_carriers(self, now: float) -> tuple[InstanceId, ...]:
         entries = set(self.touched(now=now)) - {self._own}
         return choose_spread(entries, most=_ENTRY_CARRIERS)
 
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -153,14 +153,21 @@
             self._convey(self._take(answered, now))
         self._send_orders(now)
 
-    def tick(self, carriers: Iterable[InstanceId], *, now: float) -> None:
+    def tick(
+        self,
+        controls: Iterable[InstanceId],
+        entries: Iterable[InstanceId],
+        *,
+        now: float,
+    ) -> None:
         """Do what is due.
 
         Args:
-            carriers: Other instances that may carry orders.
+            controls: Other control instances, which carry orders.
+            entries: Entries that do if there are hardly any.
             now: The present time.
         """
-        for each in self._carriage.ask(carriers, now=now):
+        for each in self._carriage.ask(controls, entries, now=now):
             self._send(each.to, each.message)
         self._send_orders(now)
         self._perform(self._desk.tick(now=now))
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -65,13 +65,15 @@
     def __init__(self, carriers: tuple[InstanceId, ...] = CARRIERS) -> None:
         self.now = 100.0
         self.carriers = carriers
+        self.others: tuple[InstanceId, ...] = ()
         self.lost: set[InstanceId] = set()
         self.carriage = Carriage(OWN, session=SESSION, now=self.now)
 
     def turn(self, seconds: float = 0.12) -> None:
         """Ask for echoes, and get them."""
         self.now += seconds
-        for ask in self.carriage.ask(self.carriers, now=self.now):
+        asks = self.carriage.ask(self.carriers, self.others, now=self.now)
+        for ask in asks:
             if ask.to not in self.lost:
                 self.answer(ask.to)
 
@@ -168,6 +170,23 @@
         world.turn(0)
         assert world.place(_start()) == before
 
+    # Guards against a dispatcher that is cut off from all other control
+    # instances, and is late for carrying all orders itself.
+    def test_others_carry_where_few_can(self) -> None:
+        world = _World()
+        world.others = (InstanceId('e1'), InstanceId('e2'))
+        world.turn()
+        world.turn()
+        assert world.place(_start()) in CARRIERS
+        world.lost.update(CARRIERS)
+        for _ in range(5):
+            world.turn()
+        assert world.place(_start()) in world.others
+        world.lost.clear()
+        for _ in range(2):
+            world.turn()
+        assert world.place(_start()) in CARRIERS
+
     def test_order_is_voided_through_another(self) -> None:
         world = _World()
         world.turn()
