Answer callers when a drain reaches its limit

Cause: at the limit the process closed its listeners, which wait for handlers in progress, twice a minute; nobody ended the jobs that these waited for.

Change: at the limit each job that is left is ended: what may have run has failed (shutting-down), what has not is refused, and jobs that run at other instances are let go of. Its tasks are stopped as at a cancel.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -154,10 +154,14 @@
         await site.start()
 
     async def _drain(self, driver: Driver) -> None:
-        """Let the jobs in progress end, for as long as the settings say."""
+        """Let the jobs in progress end, for as long as the settings say.
+
+        Callers of those that don't are told so.
+        """
         with suppress(TimeoutError):
             async with asyncio.timeout(self._settings.limits.drain_seconds):
                 await driver.idle()
+        driver.shut_down()
         # Outcomes that just came in still have to be written out.
         await asyncio.sleep(_FLUSH_SECONDS)
 
--- a/src/cuminstack/daemon/_driver.py
+++ b/src/cuminstack/daemon/_driver.py
@@ -119,6 +119,10 @@
         """Take no new work."""
         self.perform(self._node.drain(now=self.now))
 
+    def shut_down(self) -> None:
+        """Answer all callers that still wait."""
+        self.perform(self._node.shut_down(now=self.now))
+
     def submit(self, request: JobRequest) -> asyncio.Future[Outcome]:
         """Submit a job; the future gives its outcome."""
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
--- a/src/cuminstack/jobs/_book.py
+++ b/src/cuminstack/jobs/_book.py
@@ -205,6 +205,19 @@
             now=now,
         )
 
+    def shut_down(self, *, now: float) -> JobEffects:
+        """End all jobs, as this instance ends."""
+        effects: list[JobEffect] = []
+        for job in tuple(self._running.values()):
+            ended = self._give_up(
+                job,
+                FailureReason.shutting_down,
+                RefusalReason.shutting_down,
+                now=now,
+            )
+            effects.extend(ended)
+        return tuple(effects)
+
     def _pass_deadline(self, job: Job, *, now: float) -> JobEffects:
         return self._give_up(
             job,
--- a/src/cuminstack/jobs/_types.py
+++ b/src/cuminstack/jobs/_types.py
@@ -86,6 +86,7 @@
     holder_gone = 'holder-gone'
     lease_lost = 'lease-lost'
     outcome_expired = 'outcome-expired'
+    shutting_down = 'shutting-down'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cuminstack/node/_intake.py
+++ b/src/cuminstack/node/_intake.py
@@ -1,7 +1,7 @@
 """From a submission to a job in progress, here or at another instance."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from cuminstack.core import Instance, InstanceId, JobId, Send
 from cuminstack.jobs import (
@@ -132,6 +132,18 @@
             return ()
         return self.cancel(job, now=now)
 
+    def shut_down(self, *, now: float) -> Effects:
+        """End all jobs here; those of other instances are let go of."""
+        refused = Refused(RefusalReason.shutting_down)
+        effects: list[Any] = []
+        for request in self._claiming.values():
+            effects.extend(self._book.close(request, refused, now=now))
+        failed = Failed(FailureReason.shutting_down)
+        effects.extend(JobEnded(job, failed) for job in self._forwarded)
+        self._claiming.clear()
+        self._forwarded.clear()
+        return (*effects, *self._book.shut_down(now=now))
+
     def holder_gone(self, holder: InstanceId, *, now: float) -> Effects:
         """End what waits for an instance that is gone."""
         lost = [
--- a/src/cuminstack/node/_node.py
+++ b/src/cuminstack/node/_node.py
@@ -232,6 +232,10 @@
         )
         return self._settle(effects, now=now)
 
+    def shut_down(self, *, now: float) -> Effects:
+        """End the jobs that a drain has not seen end."""
+        return self._settle(self._intake.shut_down(now=now), now=now)
+
     def submit(
         self,
         request: JobRequest,
