Send orders and answers in batches that are 3 ms apart

Change: a batch goes at once, unless one went less than 3 ms before; lists that come in one frame are taken together and room is given out once for them.

--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -1,6 +1,6 @@
 """Decides which task of which job starts on which endpoint, for one term."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from itertools import count
 from typing import Final
@@ -267,31 +267,36 @@
         now: float,
     ) -> Effects:
         """Take what runs and what has ended at an endpoint."""
-        endpoint = self._endpoints.get(order.endpoint)
-        if endpoint is None or order.token != endpoint.token:
-            return ()
-        if view.lifetime != endpoint.life.number and view.lifetime:
-            if endpoint.life.number and view.lifetime < endpoint.life.number:
-                return ()
-            if endpoint.life.number:
-                return tuple(self._restarted(endpoint, view.lifetime, now))
-            endpoint.life.number = view.lifetime
-        self._heard_at[order.endpoint] = now
-        if endpoint.hold is not None and endpoint.hold.number == order.number:
-            endpoint.hold = None
-        endpoint.silences = 0
-        endpoint.life.clock.read(view.clock_ms, asked_at=asked_at, now=now)
-        endpoint.life.acknowledged_end = max(
-            endpoint.life.acknowledged_end,
-            order.last_end,
-        )
-        effects = list(self._runs.take_view(endpoint, view, asked_at, now))
-        if endpoint.phase is not Phase.ready:
-            effects.append(note_ready(endpoint, view))
-            endpoint.phase = Phase.ready
-            endpoint.has_joined = True
-        effects.extend(self._assigner.assign(now=now))
-        effects.extend(self._watch.tend(endpoint, now=now))
+        return self.holds_answered(((order, view, asked_at),), now=now)
+
+    def holds_answered(
+        self,
+        answers: Iterable[tuple[Hold, EndpointView, float]],
+        *,
+        now: float,
+    ) -> Effects:
+        """Take the answers to several holds, and assign once for all.
+
+        Args:
+            answers: Each hold, what was answered, and when it was asked.
+            now: The present time.
+        """
+        effects: list[Effect] = []
+        seen: list[Endpoint] = []
+        for order, view, asked_at in answers:
+            endpoint = self._endpoints.get(order.endpoint)
+            if endpoint is None or order.token != endpoint.token:
+                continue
+            if self._is_same_life(endpoint, view):
+                taken = self._take_view(endpoint, order, view, asked_at, now)
+                effects.extend(taken)
+                seen.append(endpoint)
+            elif view.lifetime > endpoint.life.number:
+                effects.extend(self._restarted(endpoint, view.lifetime, now))
+        if seen:
+            effects.extend(self._assigner.assign(now=now))
+        for endpoint in seen:
+            effects.extend(self._watch.tend(endpoint, now=now))
         return tuple(effects)
 
     def tick(self, *, now: float) -> Effects:
@@ -311,6 +316,36 @@
         effects.extend(self._assigner.assign(now=now))
         return tuple(effects)
 
+    def _is_same_life(self, endpoint: Endpoint, view: EndpointView) -> bool:
+        """Tell whether lists are of the lifetime that is known, or the first.
+
+        An endpoint need not tell its lifetime.
+        """
+        if not endpoint.life.number:
+            endpoint.life.number = view.lifetime
+        return view.lifetime in {0, endpoint.life.number}
+
+    def _take_view(
+        self,
+        endpoint: Endpoint,
+        order: Hold,
+        view: EndpointView,
+        asked_at: float,
+        now: float,
+    ) -> Iterator[Effect]:
+        life = endpoint.life
+        self._heard_at[order.endpoint] = now
+        if endpoint.hold is not None and endpoint.hold.number == order.number:
+            endpoint.hold = None
+        endpoint.silences = 0
+        life.clock.read(view.clock_ms, asked_at=asked_at, now=now)
+        life.acknowledged_end = max(life.acknowledged_end, order.last_end)
+        yield from self._runs.take_view(endpoint, view, asked_at, now)
+        if endpoint.phase is not Phase.ready:
+            yield note_ready(endpoint, view)
+            endpoint.phase = Phase.ready
+            endpoint.has_joined = True
+
     def _look_at(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
         """Do what is due at an endpoint, and find out when more will be."""
         yield from self._watch.void_overdue(endpoint, now=now)
--- a/src/cuminstack/roles/_carrier.py
+++ b/src/cuminstack/roles/_carrier.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Final
 
 from cuminstack.core import InstanceId
@@ -17,13 +18,12 @@
     Started,
     StartRun,
 )
+from cuminstack.roles._batches import Batches
 from cuminstack.roles._clock import steady_now
 from cuminstack.roles._ports import EndpointClient
 from cuminstack.roles._work import Work, WorkLog
 from cuminstack.settings import LogLevel
 
-#: Seconds for which answers are gathered into one frame.
-_GATHER_SECONDS: Final = 0.002
 #: Digits of seconds after the point, in the log.
 _DIGITS: Final = 3
 
@@ -34,9 +34,9 @@
 class _Answers:
     """What goes back to one dispatcher with the next frame."""
 
+    batches: Batches
     session: int = 0
     stamp: float = 0
-    is_due: bool = False
     started: list[tuple[int, int]] = field(default_factory=list)
     refused: list[tuple[int, Refusal]] = field(default_factory=list)
     views: list[tuple[int, EndpointView]] = field(default_factory=list)
@@ -44,7 +44,6 @@
 
     def clear(self) -> None:
         """Gather anew."""
-        self.is_due = False
         for gathered in (
             self.started,
             self.refused,
@@ -86,7 +85,10 @@
 
     def receive(self, sender: InstanceId, carry: Carry, *, now: float) -> None:
         """Carry orders, unless they were held up on their way."""
-        answers = self._answers.setdefault(sender, _Answers())
+        answers = self._answers.get(sender)
+        if answers is None:
+            answers = _Answers(Batches(partial(self._answer, sender)))
+            self._answers[sender] = answers
         if carry.session != answers.session:
             # Nobody waits for the answers to another dispatcher's orders.
             answers.clear()
@@ -161,10 +163,7 @@
                 answers.views.append((number, answer))
             case NoAnswer():
                 answers.unanswered.append((number, answer.reason))
-        if not answers.is_due:
-            answers.is_due = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(_GATHER_SECONDS, self._answer, sender)
+        answers.batches.expect()
 
     def _answer(self, sender: InstanceId) -> None:
         answers = self._answers[sender]
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -1,6 +1,5 @@
 """Runs the dispatcher of one term: gives orders and takes their answers."""
 
-import asyncio
 import zlib
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -26,7 +25,6 @@
     EndpointView,
     Fenced,
     Hold,
-    NoAnswer,
     Noted,
     OrderRefused,
     Started,
@@ -34,12 +32,12 @@
     StopRun,
     find_order,
 )
+from cuminstack.roles._batches import Batches
 from cuminstack.roles._clock import steady_now
 from cuminstack.roles._work import Work, WorkLog
 from cuminstack.settings import LogLevel
 
 Sender = Callable[[InstanceId, Any], None]
-Answer = Started | OrderRefused | EndpointView
 
 _DECIDED: Final = MappingProxyType(
     {
@@ -80,7 +78,7 @@
         self._work = work
         self._term = term
         self._send = send
-        self._flushes = False
+        self._batches = Batches(self._send_orders)
         self._carriage = Carriage(own, session=session, now=now)
         dispatcher = Dispatcher(
             term=term,
@@ -148,10 +146,17 @@
         now: float,
     ) -> None:
         """Take what a carrier says of orders."""
+        views: list[tuple[Hold, EndpointView, float]] = []
         for answered in self._carriage.receive(carrier, message):
             self._work.add(Work.answers_taken)
-            self._convey(self._take(answered, now))
-        self._send_orders(now)
+            order, answer = answered.order, answered.answer
+            if isinstance(order, Hold) and isinstance(answer, EndpointView):
+                views.append((order, answer, answered.asked_at))
+            else:
+                self._convey(self._take(answered, now))
+        if views:
+            self._convey(self._dispatcher.holds_answered(views, now=now))
+        self._batches.expect()
 
     def tick(
         self,
@@ -169,7 +174,7 @@
         """
         for each in self._carriage.ask(controls, entries, now=now):
             self._send(each.to, each.message)
-        self._send_orders(now)
+        self._batches.expect()
         self._perform(self._desk.tick(now=now))
         self._convey(self._dispatcher.tick(now=now))
 
@@ -195,58 +200,25 @@
     def _give(self, order: Order) -> None:
         self._work.add(_DECIDED[type(order)])
         self._carriage.give(order)
-        if not self._flushes:
-            # What else is decided in this turn of the loop goes along.
-            self._flushes = True
-            asyncio.get_running_loop().call_soon(self._flush)
+        self._batches.expect()
 
-    def _flush(self) -> None:
-        self._flushes = False
-        self._send_orders(steady_now())
-
-    def _send_orders(self, now: float) -> None:
-        for each in self._carriage.collect(now=now):
+    def _send_orders(self) -> None:
+        for each in self._carriage.collect(now=steady_now()):
             self._send(each.to, each.message)
 
     def _take(self, answered: OrderAnswered, now: float) -> Effects:
-        """Take what an endpoint answered to an order."""
+        """Take what an endpoint answered to an order, but for lists."""
         order = answered.order
         answer = answered.answer
-        if isinstance(answer, NoAnswer):
-            return self._dispatcher.unanswered(order, now=now)
-        if isinstance(order, StartRun):
-            return self._take_start(order, answer, answered.asked_at, now)
-        return self._take_hold(order, answer, answered.asked_at, now)
-
-    def _take_start(
-        self,
-        order: StartRun,
-        answer: Answer,
-        asked_at: float,
-        now: float,
-    ) -> Effects:
         match answer:
-            case Started():
+            case Started() if isinstance(order, StartRun):
                 clock = answer.clock_ms
                 take = partial(self._dispatcher.start_answered, order, clock)
-                return take(asked_at=asked_at, now=now)
-            case OrderRefused():
+                return take(asked_at=answered.asked_at, now=now)
+            case OrderRefused() if isinstance(order, StartRun):
                 refusal = answer.refusal
                 return self._dispatcher.start_refused(order, refusal, now=now)
-        return ()
-
-    def _take_hold(
-        self,
-        order: Hold,
-        answer: Answer,
-        asked_at: float,
-        now: float,
-    ) -> Effects:
-        match answer:
-            case EndpointView():
-                take = partial(self._dispatcher.hold_answered, order, answer)
-                return take(asked_at=asked_at, now=now)
-            case OrderRefused():
+            case OrderRefused() if isinstance(order, Hold):
                 refusal = answer.refusal
                 return self._dispatcher.hold_refused(order, refusal, now=now)
-        return ()
+        return self._dispatcher.unanswered(order, now=now)
