Take a carrier back whose machine has started anew

Cause, found by reading the mend again: the newest echo of a carrier was told by the carrier's clock, which begins anew with its machine; one that lost power would have carried no orders for the rest of the dispatcher's term, and two such would have left the dispatcher to carry them itself, as in the incident.

Change: the newest echo is told by the dispatcher's own stamp that it sends back. tests/test_carriage.py::TestChoice::test_restarted_machine_carries_again failed before (the dispatcher's own instance was chosen).

--- a/src/cuminstack/fleet/_carriage.py
+++ b/src/cuminstack/fleet/_carriage.py
@@ -177,9 +177,9 @@
         if carried.session != self._session:
             return
         known = self._echoes.get(sender)
-        if known is None or carried.clock > known.clock:
-            stamp = max(carried.stamp, 0 if known is None else known.stamp)
-            echo = _Echo(stamp, carried.clock, carried.zone)
+        # A carrier's own clock begins anew with its machine.
+        if known is None or carried.stamp >= known.stamp:
+            echo = _Echo(carried.stamp, carried.clock, carried.zone)
             self._echoes[sender] = echo
         for number, answer in _answers(carried):
             given = self._given.pop(number, None)
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -65,6 +65,7 @@
     def __init__(self, carriers: tuple[InstanceId, ...] = CARRIERS) -> None:
         self.now = 100.0
         self.carriers = carriers
+        self.clock: float = CLOCK
         self.others: tuple[InstanceId, ...] = ()
         self.lost: set[InstanceId] = set()
         self.carriage = Carriage(OWN, session=SESSION, now=self.now)
@@ -88,7 +89,7 @@
         carried = Carried(
             session,
             self.now,
-            self.now - 100 + CLOCK,
+            self.now + self.clock,
             f'zone of {carrier}',
             started=started,
             views=views,
@@ -158,6 +159,20 @@
             world.turn()
         assert world.place(_start()) not in {before, OWN}
 
+    # Guards against a carrier that is left out for good, as its clock began
+    # anew when its machine did.
+    def test_restarted_machine_carries_again(self) -> None:
+        world = _World(CARRIERS[:1])
+        world.turn()
+        world.lost.update(CARRIERS)
+        for _ in range(4):
+            world.turn()
+        assert world.place(_start()) == OWN
+        world.lost.clear()
+        world.clock = -world.now
+        world.turn()
+        assert world.place(_start()) == CARRIERS[0]
+
     # Guards against a metastable failure: a late dispatcher that takes its
     # carriers for lost, carries all itself, and so gets later still.
     def test_late_dispatcher_keeps_its_carriers(self) -> None:
