Bound the orders of one frame

Cause, found by reading: all orders of a batch to one carrier were one frame, and each start bears its job's payload of up to 4 kB. A job of 1,800 tasks at one carrier comes to 7.5 MB; with what else is decided meanwhile the frame passes the 8 MB that are read, and the link is closed.

Change: at most 200 orders a frame. test_wide_job_with_large_payload failed before (one frame of more than a quarter of what is read).

--- a/src/cuminstack/fleet/_carriage.py
+++ b/src/cuminstack/fleet/_carriage.py
@@ -35,6 +35,9 @@
 #: Requests of which a carrier has to have answered one.  They are counted, as
 #: a dispatcher that is late itself must not take its carriers for lost.
 _ECHOES: Final = 3
+#: Orders of one frame at most: each may bear a payload of 4 kB, and a frame
+#: holds 8 MB.
+_MOST_ORDERS: Final = 200
 #: Carriers that are too few for all orders of a deployment.
 _FEW_CARRIERS: Final = 2
 #: Seconds for which orders wait for the first echoes; these take one way and
@@ -153,7 +156,7 @@
         return tuple(Send(name, carry) for name in self._candidates)
 
     def collect(self, *, now: float) -> tuple[Send, ...]:
-        """Give the orders that wait, in one batch for each carrier."""
+        """Give the orders that wait, in few batches for each carrier."""
         if not self._waiting:
             return ()
         self._refresh()
@@ -164,8 +167,9 @@
             batches[self._choose(order, now)].append(order)
         self._waiting.clear()
         return tuple(
-            Send(name, self._batch(name, orders, now))
+            Send(name, self._batch(name, part, now))
             for name, orders in batches.items()
+            for part in _split(orders)
         )
 
     def receive(
@@ -285,6 +289,11 @@
             self._given.pop(number)
 
 
+def _split(orders: list[Order]) -> Iterator[list[Order]]:
+    for first in range(0, len(orders), _MOST_ORDERS):
+        yield orders[first : first + _MOST_ORDERS]
+
+
 def _answers(carried: Carried) -> Iterator[tuple[int, Answer]]:
     # An order is carried out before what was asked after it.
     return chain(
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -8,6 +8,7 @@
 import pytest
 from bench.pool import FakeWorker
 
+from cuminstack import wire
 from cuminstack.core import EndpointId, InstanceId, JobKey, Send, ZoneName
 from cuminstack.fleet import (
     CARRY_SECONDS,
@@ -121,6 +122,17 @@
         # Spread over all: none has more than twice an even share.
         assert max(orders) <= 2 * len(ENDPOINTS) / len(CARRIERS)
 
+    # Guards against a frame that is too large to be read, so that the link
+    # closes and everything that a job of many tasks has started is voided.
+    def test_wide_job_with_large_payload(self) -> None:
+        world = _World(CARRIERS[:1])
+        world.turn()
+        start = replace(_start(), payload='x' * 4000)
+        batches = world.collect(*(start for _ in range(1800)))
+        frames = [wire.encode(batch.message) for batch in batches]
+        assert max(map(len, frames)) < wire.MAX_FRAME_BYTES / 4
+        assert sum(len(each.message.starts) for each in batches) == 1800
+
     def test_carrier_of_the_zone_comes_first(self) -> None:
         world = _World()
         report = FakeWorker('w0', 1, rate=1).report()
