Split who carries orders from how they get there, and forget endpoints

Routes are forgotten 30 s after the last heartbeat (test_endpoint_that_is_gone_is_forgotten). Who carries what is as before.

--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -139,9 +139,21 @@
         world.turn()
         for carrier in CARRIERS:
             zone = ZoneName(f'zone of {carrier}')
-            world.carriage.locate(replace(report, zone=zone))
+            world.carriage.locate(replace(report, zone=zone), now=world.now)
             assert world.place(_start()) == carrier
 
+    def test_endpoint_that_is_gone_is_forgotten(self) -> None:
+        world = _World()
+        world.turn()
+        report = FakeWorker('w0', 1, rate=1).report()
+        for number in range(50):
+            world.now += 1
+            name = EndpointId(f'new{number}')
+            moved = replace(report, endpoint=name)
+            world.carriage.locate(moved, now=world.now)
+            world.place(_start(name))
+        assert len(world.carriage._carriers._routes) <= 30
+
     def test_alone(self) -> None:
         world = _World(())
         world.turn()
