--- a/src/cuminstack/roles/_batches.py
+++ b/src/cuminstack/roles/_batches.py
@@ -21,6 +21,11 @@
         self._loop = asyncio.get_running_loop()
         self._sent_at: float = 0
         self._is_expected = False
+        self._has_stopped = False
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._has_stopped = True
 
     def expect(self) -> None:
         """Have what is there, and what comes until then, sent soon."""
@@ -36,4 +41,5 @@
     def _flush(self) -> None:
         self._is_expected = False
         self._sent_at = self._loop.time()
-        self._send()
+        if not self._has_stopped:
+            self._send()
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -180,6 +180,7 @@
             term=self._lead.term,
             highest_term=self._election.highest_term,
         )
+        self._lead.stop()
         self._lead = None
         beat = LeaderBeat(
             term=0,
--- a/src/cuminstack/roles/_lead.py
+++ b/src/cuminstack/roles/_lead.py
@@ -103,6 +103,10 @@
         """Jobs of which nothing was started, by queue."""
         return self._dispatcher.waiting
 
+    def stop(self) -> None:
+        """Give no more orders."""
+        self._batches.stop()
+
     def begin_term(self, term: int, *, now: float) -> None:
         """Go on in a later term."""
         log_event('dispatcher.new_term', LogLevel.warning, term=term)
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -30,6 +30,7 @@
     StopRun,
     TaskKey,
 )
+from cuminstack.roles._batches import Batches
 from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._work import WorkLog
 
@@ -314,6 +315,31 @@
     """Take nothing."""
 
 
+@pytest.mark.asyncio
+class TestBatches:
+    """When what was gathered is sent."""
+
+    async def test_what_comes_together_goes_together(self) -> None:
+        sent: list[int] = []
+        batches = Batches(lambda: sent.append(1))
+        for _ in range(3):
+            batches.expect()
+        await asyncio.sleep(0.05)
+        assert len(sent) == 1
+        batches.expect()
+        await asyncio.sleep(0.05)
+        assert len(sent) == 2
+
+    # Guards against orders of a dispatcher that has resigned meanwhile.
+    async def test_nothing_after_the_end(self) -> None:
+        sent: list[int] = []
+        batches = Batches(lambda: sent.append(1))
+        batches.expect()
+        batches.stop()
+        await asyncio.sleep(0.05)
+        assert not sent
+
+
 @pytest.mark.asyncio
 class TestCarrier:
     """What the instance does that carries orders."""
