Send fewer frames and take fewer turns while nothing happens

Counted a second: 936 frames that pass on heartbeats of endpoints to each instance that may dispatch, 533 heartbeats of idle control instances to all entries, 50 turns of each entry, of which 10 have anything to do. These grow with endpoints and instances though nothing happens.

Change: heartbeats that only say that an endpoint is still there are passed on together each 0.2 s, any change at once; idle control instances send heartbeats to deputies each 0.3 s as before, to other entries each second; an entry takes all 50 turns only while it may have to dispatch.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -31,6 +31,7 @@
     Taken,
     Unknown,
 )
+from cuminstack.fleet._news import EndpointGazette
 
 __all__ = (
     'CARRY_SECONDS',
@@ -46,6 +47,7 @@
     'Dropped',
     'Election',
     'Ended',
+    'EndpointGazette',
     'EndpointLeft',
     'EndpointNews',
     'EntryBeat',
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -151,12 +151,12 @@
     job: JobKey
 
 
-@message('fleet.endpoint_news')
+@message('fleet.endpoint_reports')
 @dataclass(frozen=True, slots=True)
 class EndpointNews:
-    """A heartbeat of an endpoint, as one control instance got it."""
+    """Heartbeats of endpoints, as one control instance got them."""
 
-    report: EndpointReport
+    reports: tuple[EndpointReport, ...]
 
 
 @message('fleet.endpoint_left')
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -74,7 +74,7 @@
         self._election = election
         self._order = order
         self._mesh = mesh
-        self._work = WorkLog(mesh, turn_seconds=TICK_SECONDS)
+        self._work = WorkLog(mesh)
         self._carrier = Carrier(
             zone=zone,
             client=client,
@@ -142,9 +142,14 @@
             entries = len(self._lead.desk.leased(now=now))
         return entries + len(self._election.live(now=now))
 
-    def tick(self, *, now: float) -> None:
-        """Follow the election, and dispatch."""
-        self._work.turn(now=now)
+    def tick(self, *, now: float, pause: float = TICK_SECONDS) -> None:
+        """Follow the election, and dispatch.
+
+        Args:
+            now: The present time.
+            pause: Seconds that were planned since the last tick.
+        """
+        self._work.turn(pause, now=now)
         self._election.tick(weight=self.weight(now=now), now=now)
         self.follow_election(now=now)
         if self._lead is not None:
@@ -191,13 +196,18 @@
         )
         self.tell_entries(beat)
 
-    def tell_entries(self, beat: LeaderBeat) -> None:
-        """Send a heartbeat to the entries in touch."""
+    def tell_entries(
+        self,
+        beat: LeaderBeat,
+        *,
+        only: Iterable[InstanceId] | None = None,
+    ) -> None:
+        """Send a heartbeat to the entries in touch, or to some of them."""
         for entry, heard_at in tuple(self._entries.items()):
             if beat.stamp - heard_at > _ENTRY_SECONDS:
                 self._entries.pop(entry)
                 self._mesh.leave(entry)
-        self._mesh.send_all(self._entries, beat)
+        self._mesh.send_all(self._entries if only is None else only, beat)
 
     def forget_old_reports(self, *, now: float) -> None:
         """Forget endpoints that have been silent for long."""
@@ -211,7 +221,8 @@
             case EntryBeat():
                 self._hear_entry(sender, message, now)
             case EndpointNews():
-                self.observe(message.report, now=now)
+                for report in message.reports:
+                    self.observe(report, now=now)
             case EndpointLeft():
                 self.forget(EndpointId(message.endpoint), now=now)
             case Dropped() if self._lead is not None:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -12,6 +12,7 @@
     SILENCE_SECONDS,
     ControlBeat,
     Election,
+    EndpointGazette,
     EndpointLeft,
     EndpointNews,
     EntryBeat,
@@ -31,9 +32,14 @@
 
 #: Turns between looks at whether endpoints came or went: each second.
 _TURNS_OF_MEMORY: Final = 50
-#: Turns between heartbeats to entries while this instance doesn't lead: two
+#: Turns between heartbeats to deputies while this instance doesn't lead: two
 #: fit into the silence after which a deputy stands.
 _TURNS_OF_IDLE_BEAT: Final = 15
+#: The same to all entries, which only learn that it is there.
+_TURNS_TO_ENTRIES: Final = 50
+#: Turns between news of endpoints that are only still there; these send a
+#: heartbeat each 1.5 s.
+_TURNS_OF_NEWS: Final = 10
 
 
 class ControlRole:
@@ -58,6 +64,7 @@
             now=steady_now(),
         )
         self._controls: dict[InstanceId, float] = {}
+        self._gazette = EndpointGazette()
         self._endpoint_file = EndpointMemory(settings.data_folder)
         self._turns = 0
         self._leaves = False
@@ -127,12 +134,13 @@
     def observe(self, report: EndpointReport) -> None:
         """Take a heartbeat of an endpoint, and pass it on."""
         now = steady_now()
-        self._mesh.send_all(self._candidates(now), EndpointNews(report))
+        self._tell_candidates(self._gazette.take(report), now)
         self._candidate.observe(report, now=now)
 
     def endpoint_left(self, endpoint: EndpointId) -> None:
         """Take that an endpoint has deregistered, and pass it on."""
         now = steady_now()
+        self._gazette.forget(endpoint)
         self._mesh.send_all(self._candidates(now), EndpointLeft(endpoint))
         self._candidate.forget(endpoint, now=now)
 
@@ -148,6 +156,10 @@
         """List the other instances that may come to dispatch."""
         return (*self._controls, *self._deputies(now))
 
+    def _tell_candidates(self, news: EndpointNews | None, now: float) -> None:
+        if news is not None:
+            self._mesh.send_all(self._candidates(now), news)
+
     def _deputies(self, now: float) -> tuple[InstanceId, ...]:
         return choose_deputies(self._candidate.touched(now=now))
 
@@ -172,15 +184,18 @@
             self._beat(now)
         elif self._candidate.leads and not led:
             self._beat_entries(now)
+        if self._turns % _TURNS_OF_NEWS == 0:
+            self._tell_candidates(self._gazette.issue(), now)
         if self._turns % _TURNS_OF_MEMORY == 0:
             self._remember_endpoints(now)
 
     def _remember_endpoints(self, now: float) -> None:
         self._candidate.forget_old_reports(now=now)
+        known = self._candidate.reports
+        self._gazette.keep_only(report.endpoint for report in known)
         # What changes with each heartbeat is not worth a sync.
         self._endpoint_file.keep(
-            replace(report, sequence=0, cold_seconds=0)
-            for report in self._candidate.reports
+            replace(report, sequence=0, cold_seconds=0) for report in known
         )
 
     def _beat(self, now: float) -> None:
@@ -193,11 +208,17 @@
             leaves=self._leaves,
         )
         self._mesh.send_all(self._controls, beat)
-        is_due = self._turns % _TURNS_OF_IDLE_BEAT == 0
-        if self._candidate.leads or is_due:
+        if self._candidate.leads or self._turns % _TURNS_TO_ENTRIES == 0:
             self._beat_entries(now)
+        elif self._turns % _TURNS_OF_IDLE_BEAT == 0:
+            self._beat_entries(now, only=self._deputies(now))
 
-    def _beat_entries(self, now: float) -> None:
+    def _beat_entries(
+        self,
+        now: float,
+        *,
+        only: tuple[InstanceId, ...] | None = None,
+    ) -> None:
         beat = LeaderBeat(
             term=self._candidate.term,
             stamp=now,
@@ -206,7 +227,7 @@
             deputies=self._deputies(now),
             entries=len(self._candidate.touched(now=now)),
         )
-        self._candidate.tell_entries(beat)
+        self._candidate.tell_entries(beat, only=only)
 
     def _known_controls(self, now: float) -> tuple[InstanceId, ...]:
         return (self._settings.own, *self._election.live(now=now))
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -56,11 +56,20 @@
         """How much of each kind of work its process has done."""
         return self._candidate.work
 
-    def tick(self, *, now: float) -> None:
-        """Do what is due; call it every 20 ms."""
+    def is_needed(self, *, now: float) -> bool:
+        """Tell whether this entry leads, or may come to."""
+        return self.leads or self._election.misses_controls(now=now)
+
+    def tick(self, *, now: float, pause: float) -> None:
+        """Do what is due; call it every 20 ms while it is needed.
+
+        Args:
+            now: The present time.
+            pause: Seconds that were planned since the last tick.
+        """
         self._turns += 1
         led = self._candidate.leads
-        self._candidate.tick(now=now)
+        self._candidate.tick(now=now, pause=pause)
         is_due = self._turns % TURNS_OF_BEAT == 0
         if is_due and self._election.misses_controls(now=now):
             self._beat(now)
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -160,14 +160,21 @@
             self._perform(self._desk.drop(key))
 
     async def _tick_forever(self) -> None:
+        turns = 1
         while True:
             now = steady_now()
-            self._deputy.tick(now=now)
-            self._turns += 1
+            self._deputy.tick(now=now, pause=turns * TICK_SECONDS)
+            self._turns += turns
             if self._turns % TURNS_OF_BEAT == 0:
                 self._beat()
                 self._perform(self._desk.tick(now=now))
-            await asyncio.sleep(TICK_SECONDS)
+            # Only an entry that may have to dispatch needs each turn.
+            is_busy = self._deputy.is_needed(now=now)
+            turns = 1 if is_busy else self._turns_to_beat()
+            await asyncio.sleep(turns * TICK_SECONDS)
+
+    def _turns_to_beat(self) -> int:
+        return TURNS_OF_BEAT - self._turns % TURNS_OF_BEAT
 
     def _beat(self) -> None:
         to_all = self._turns % _TURNS_TO_OTHERS == 0
--- a/src/cuminstack/roles/_work.py
+++ b/src/cuminstack/roles/_work.py
@@ -32,12 +32,10 @@
 
     Args:
         mesh: Links of the process.
-        turn_seconds: Time between two turns of a process that keeps up.
     """
 
-    def __init__(self, mesh: Mesh, *, turn_seconds: float) -> None:
+    def __init__(self, mesh: Mesh) -> None:
         self._mesh = mesh
-        self._turn_seconds = turn_seconds
         self._counts: Counter[Work] = Counter()
         self._logged: Counter[Work] = Counter()
         self._turned_at: float | None = None
@@ -53,10 +51,15 @@
         """Take that work was done."""
         self._counts[work] += number
 
-    def turn(self, *, now: float) -> None:
-        """Take a turn of the clockwork; log what was done if it is time."""
+    def turn(self, pause: float, *, now: float) -> None:
+        """Take a turn of the clockwork; log what was done if it is time.
+
+        Args:
+            pause: Seconds that were planned since the last turn.
+            now: The present time.
+        """
         if self._turned_at is not None:
-            late = now - self._turned_at - self._turn_seconds
+            late = now - self._turned_at - pause
             self._latest = max(self._latest, late)
         self._turned_at = now
         if self._logged_at is None:
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -303,7 +303,7 @@
             zone='zone',
             client=self.client,
             send=lambda to, frame: self.frames.append(frame),
-            work=WorkLog(mesh, turn_seconds=1),
+            work=WorkLog(mesh),
         )
 
     async def carry(self, carry: Carry, *, now: float = 100) -> None:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -27,14 +27,14 @@
             lambda event, level, **values: lines.append(values),
         )
         links = _Links()
-        log = WorkLog(cast(Mesh, links), turn_seconds=0.02)
+        log = WorkLog(cast(Mesh, links))
         log.add(Work.starts_decided, 5)
-        log.turn(now=0)
-        log.turn(now=0.32)
-        log.turn(now=1)
+        log.turn(0.02, now=0)
+        log.turn(0.02, now=0.32)
+        log.turn(0.02, now=1)
         log.add(Work.starts_decided)
         links.frames_sent = 4
-        log.turn(now=2)
+        log.turn(0.02, now=2)
         first, second = lines
         assert first['starts_decided'] == 5
         assert first['frames_sent'] == 3
