Share the client of tests, and name the buffer of heartbeats

Read-through: two test files had their own client with workers in memory; the type of orders stood twice in fleet; EndpointGazette said little of what it does, so it is HeartbeatBuffer. No behaviour changes.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -8,7 +8,7 @@
     MayHaveRun,
     NotRun,
 )
-from cuminstack.fleet._carriage import Carriage, OrderAnswered
+from cuminstack.fleet._carriage import Carriage, Order, OrderAnswered
 from cuminstack.fleet._carry_messages import CARRY_SECONDS, Carried, Carry
 from cuminstack.fleet._deputies import (
     DeputyElection,
@@ -17,7 +17,8 @@
 )
 from cuminstack.fleet._election import SILENCE_SECONDS, Election
 from cuminstack.fleet._entry_desk import EntryDesk
-from cuminstack.fleet._job_desk import JobDesk, Order
+from cuminstack.fleet._heartbeat_buffer import HeartbeatBuffer
+from cuminstack.fleet._job_desk import JobDesk
 from cuminstack.fleet._messages import (
     ControlBeat,
     Dropped,
@@ -31,7 +32,6 @@
     Taken,
     Unknown,
 )
-from cuminstack.fleet._news import EndpointGazette
 
 __all__ = (
     'CARRY_SECONDS',
@@ -47,12 +47,12 @@
     'Dropped',
     'Election',
     'Ended',
-    'EndpointGazette',
     'EndpointLeft',
     'EndpointNews',
     'EntryBeat',
     'EntryDesk',
     'Failure',
+    'HeartbeatBuffer',
     'JobDesk',
     'LeaderBeat',
     'MayHaveRun',
--- a/src/cuminstack/fleet/_news.py
+++ b/src/cuminstack/fleet/_heartbeat_buffer.py
@@ -8,7 +8,7 @@
 from cuminstack.pool import EndpointReport
 
 
-class EndpointGazette:
+class HeartbeatBuffer:
     """Gathers heartbeats that only say that an endpoint is still there.
 
     All instances that may dispatch are told of each heartbeat, so that frames
@@ -40,7 +40,7 @@
         for gone in self._told.keys() - set(endpoints):
             self.forget(gone)
 
-    def issue(self) -> EndpointNews | None:
+    def flush(self) -> EndpointNews | None:
         """Give what has been gathered, if anything."""
         if not self._waiting:
             return None
--- a/src/cuminstack/fleet/_job_desk.py
+++ b/src/cuminstack/fleet/_job_desk.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.fleet._carriage import Order
 from cuminstack.fleet._entry_desk import ENTRY_LEASE_SECONDS
 from cuminstack.fleet._messages import (
     Dropped,
@@ -26,7 +27,6 @@
     Submission,
 )
 
-Order = StartRun | StopRun | Hold
 Effect = Order | Send | Noted | Fenced
 Effects = tuple[Effect, ...]
 
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -12,10 +12,10 @@
     SILENCE_SECONDS,
     ControlBeat,
     Election,
-    EndpointGazette,
     EndpointLeft,
     EndpointNews,
     EntryBeat,
+    HeartbeatBuffer,
     LeaderBeat,
     choose_deputies,
 )
@@ -64,7 +64,7 @@
             now=steady_now(),
         )
         self._controls: dict[InstanceId, float] = {}
-        self._gazette = EndpointGazette()
+        self._heartbeats = HeartbeatBuffer()
         self._endpoint_file = EndpointMemory(settings.data_folder)
         self._turns = 0
         self._leaves = False
@@ -134,13 +134,13 @@
     def observe(self, report: EndpointReport) -> None:
         """Take a heartbeat of an endpoint, and pass it on."""
         now = steady_now()
-        self._tell_candidates(self._gazette.take(report), now)
+        self._tell_candidates(self._heartbeats.take(report), now)
         self._candidate.observe(report, now=now)
 
     def endpoint_left(self, endpoint: EndpointId) -> None:
         """Take that an endpoint has deregistered, and pass it on."""
         now = steady_now()
-        self._gazette.forget(endpoint)
+        self._heartbeats.forget(endpoint)
         self._mesh.send_all(self._candidates(now), EndpointLeft(endpoint))
         self._candidate.forget(endpoint, now=now)
 
@@ -185,14 +185,14 @@
         elif self._candidate.leads and not led:
             self._beat_entries(now)
         if self._turns % _TURNS_OF_NEWS == 0:
-            self._tell_candidates(self._gazette.issue(), now)
+            self._tell_candidates(self._heartbeats.flush(), now)
         if self._turns % _TURNS_OF_MEMORY == 0:
             self._remember_endpoints(now)
 
     def _remember_endpoints(self, now: float) -> None:
         self._candidate.forget_old_reports(now=now)
         known = self._candidate.reports
-        self._gazette.keep_only(report.endpoint for report in known)
+        self._heartbeats.keep_only(report.endpoint for report in known)
         # What changes with each heartbeat is not worth a sync.
         self._endpoint_file.keep(
             replace(report, sequence=0, cold_seconds=0) for report in known
--- a/tests/test_order_load.py
+++ b/tests/test_order_load.py
@@ -24,20 +24,15 @@
 from cuminstack.core import EndpointId, InstanceId, JobKey
 from cuminstack.fleet import Completed
 from cuminstack.pool import (
-    EndpointView,
-    Hold,
     JobRequest,
     JobState,
-    OrderRefused,
     QueueTerms,
     Room,
-    Started,
-    StartRun,
     Step,
-    StopRun,
 )
 from cuminstack.pool._endpoint import Endpoint
-from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
+from cuminstack.roles import ControlRole, EntryRole, RoleSettings
+from fakes_client import FakeClient
 
 PATIENCE = 30
 TERMS = QueueTerms('queue', SERVICE, stretch=2, slack=5)
@@ -45,46 +40,10 @@
 ENDPOINTS = 6
 JOBS = 12
 WIDTH = 3
-HANG_SECONDS = 0.4
 #: Endpoints of the largest deployment that is played.
 MANY_ENDPOINTS = 176
 
 
-class _Orders:
-    """Carries orders to workers in memory, and counts them."""
-
-    def __init__(self, workers: dict[EndpointId, FakeWorker]) -> None:
-        self._workers = workers
-        self.carried = 0
-        self.hangs = False
-
-    async def start(self, order: StartRun) -> Started | OrderRefused:
-        worker = await self._reach(order)
-        return worker.start(order, 0.05, 1000, poison=False, now=steady_now())
-
-    async def stop(self, order: StopRun) -> None:
-        worker = await self._reach(order)
-        worker.stop(order, steady_now())
-
-    async def hold(self, order: Hold) -> EndpointView | OrderRefused:
-        worker = await self._reach(order)
-        refusal = worker.take_hold(order, steady_now())
-        if refusal is not None:
-            return refusal
-        give_up = steady_now() + order.wait_ms / 1000
-        while not worker.ends and steady_now() < give_up:
-            await asyncio.sleep(0.01)
-            worker.advance(steady_now())
-        return worker.view(steady_now())
-
-    async def _reach(self, order: StartRun | StopRun | Hold) -> FakeWorker:
-        self.carried += 1
-        if self.hangs:
-            # What is carried late is carried after it was voided.
-            await asyncio.sleep(HANG_SECONDS)
-        return self._workers[order.endpoint]
-
-
 class _Fleet:
     """Three control instances, an entry and some endpoints."""
 
@@ -100,7 +59,7 @@
             for number in range(ENDPOINTS)
         )
         self.workers = {EndpointId(each.name): each for each in workers}
-        self.clients = {name: _Orders(self.workers) for name in names}
+        self.clients = {name: FakeClient(self.workers) for name in names}
         self.controls = {
             name: ControlRole(
                 self._settings(name, folder / str(number)),
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -12,57 +12,27 @@
 from bench._ports import LOOPBACK, free_ports
 from bench.pool import SERVICE, FakeWorker
 
-from cuminstack.core import InstanceId, JobKey
+from cuminstack.core import EndpointId, InstanceId, JobKey
 from cuminstack.fleet import Answer, Completed, Election, EntryBeat
 from cuminstack.links import Mesh
 from cuminstack.pool import (
-    EndpointView,
-    Hold,
     JobRequest,
     JobState,
-    OrderRefused,
     QueueTerms,
     Room,
-    Started,
-    StartRun,
     Step,
-    StopRun,
 )
-from cuminstack.roles import ControlRole, EntryRole, RoleSettings, steady_now
+from cuminstack.roles import ControlRole, EntryRole, RoleSettings
 from cuminstack.roles._candidate import Candidate
 from cuminstack.roles._memory import EndpointMemory, TermMemory
 from cuminstack.store import DurableFile
+from fakes_client import FakeClient
 
 PATIENCE = 30
 TERMS = QueueTerms('queue', SERVICE, stretch=2, slack=5)
 DONE = Completed(JobState.completed)
 
 
-class _Orders:
-    """Carries orders to one worker."""
-
-    def __init__(self, worker: FakeWorker) -> None:
-        self._worker = worker
-
-    async def start(self, order: StartRun) -> Started | OrderRefused:
-        return self._worker.start(
-            order, 0.05, 1000, poison=False, now=steady_now()
-        )
-
-    async def stop(self, order: StopRun) -> None:
-        self._worker.stop(order, steady_now())
-
-    async def hold(self, order: Hold) -> EndpointView | OrderRefused:
-        refusal = self._worker.take_hold(order, steady_now())
-        if refusal is not None:
-            return refusal
-        give_up = steady_now() + order.wait_ms / 1000
-        while not self._worker.ends and steady_now() < give_up:
-            await asyncio.sleep(0.01)
-            self._worker.advance(steady_now())
-        return self._worker.view(steady_now())
-
-
 class _Fleet:
     """One control instance and two entries."""
 
@@ -76,7 +46,7 @@
         self.entries = [
             EntryRole(
                 self._settings(entry, None),
-                client=_Orders(self.worker),
+                client=self._client(),
                 new_value=lambda state: None,
             )
             for entry in entries
@@ -116,9 +86,12 @@
 
         await until(holds, seconds=PATIENCE)
 
+    def _client(self) -> FakeClient:
+        return FakeClient({EndpointId(self.worker.name): self.worker})
+
     def _make_control(self) -> ControlRole:
         settings = self._settings(self.control_name, self._folder)
-        return ControlRole(settings, client=_Orders(self.worker))
+        return ControlRole(settings, client=self._client())
 
     def _settings(self, own: InstanceId, folder: Path | None) -> RoleSettings:
         return RoleSettings(
@@ -189,7 +162,7 @@
             zone='zone',
             election=Election(own, now=100),
             order='useful-first',
-            client=_Orders(FakeWorker('w0', 16000, rate=1)),
+            client=FakeClient({}),
             mesh=cast(Mesh, _NoMesh()),
         )
         for second in range(100, 111):
