Reject odd numbers, ports and nesting where messages are decoded

Cause: heartbeats, answers of workers, jobs and the desired state were taken with any integer, a port of 0, an empty zone or room below zero; a deeply nested answer raised RecursionError past its decoder, a priority of a million overflowed the rank of a job, and an error in one tick ended all later ticks. Change: ranges belong to the types that decode; a nested body is malformed; a running row stays listed when only its progress is illegible; an unexpected error costs one message or one tick and is logged.

--- a/src/cuminstack/document/_codec.py
+++ b/src/cuminstack/document/_codec.py
@@ -53,7 +53,7 @@
     """Decode a record."""
     try:
         plain = cbor2.loads(record)
-    except (cbor2.CBORError, ValueError) as error:
+    except (cbor2.CBORError, ValueError, RecursionError) as error:
         return BadState(str(error))
     try:
         return msgspec.convert(plain, ReplicaState, builtin_types=(bytes,))
--- a/src/cuminstack/platform/_desired_state.py
+++ b/src/cuminstack/platform/_desired_state.py
@@ -2,13 +2,16 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
+from cuminstack.platform._numbers import Milliseconds, Serial, Timestamp
 from cuminstack.pool import QueueTerms
 
 _MS_PER_SECOND: Final = 1000.0
+#: Largest factor on the critical path of a job in its objective.
+_MAX_STRETCH: Final = 1.0e6
 
 
 class InvalidState(Exception):
@@ -20,14 +23,14 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int = 0
+    timeout_ms: Timestamp = 0
     # Slack of the response-time objective, on top of the job's critical path
     # times `stretch`.
-    slo_ms: float = 0
-    priority: int = 0
+    slo_ms: Milliseconds = 0
+    priority: Serial = 0
     # Number of runs of one task that may fail.
-    attempts: int = 1
-    stretch: float = 1
+    attempts: Serial = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=_MAX_STRETCH)] = 1
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -35,12 +38,12 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
+    max_header_bytes: Serial = 0
+    max_body_bytes: Serial = 0
 
 
 class _State(msgspec.Struct, rename='camel'):
-    version: int
+    version: Timestamp
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -38,6 +38,8 @@
 _DEADLINE_HEADER: Final = 'X-Deadline-Ms'
 #: Used if this header is missing or malformed.
 _DEFAULT_TIMEOUT_MS: Final = 2000.0
+#: Longest time that a job is kept for a caller: an hour.
+_MAX_TIMEOUT_MS: Final = 3600000.0
 _MS_PER_SECOND: Final = 1000.0
 #: Decimal places of seconds in the log.
 _LOG_DECIMALS: Final = 3
@@ -217,7 +219,10 @@
         timeout_ms = float(text)
     except ValueError:
         timeout_ms = _DEFAULT_TIMEOUT_MS
-    return timeout_ms / _MS_PER_SECOND
+    # Not a number compares as false, too.
+    if not timeout_ms >= 0:
+        timeout_ms = _DEFAULT_TIMEOUT_MS
+    return min(timeout_ms, _MAX_TIMEOUT_MS) / _MS_PER_SECOND
 
 
 def _to_response(answer: Answer) -> web.Response:
--- a/src/cuminstack/platform/_jobs.py
+++ b/src/cuminstack/platform/_jobs.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cuminstack.core import JobKey
+from cuminstack.platform._numbers import Amount, Milliseconds, Serial
 from cuminstack.pool import JobRequest, Resources, RunKey, Step, TaskKey
 
 #: Form of a job key, which the caller chooses.
@@ -26,22 +27,22 @@
 
 
 class _Step(msgspec.Struct, rename='camel'):
-    count: int = 1
+    count: Serial = 1
     # Millicores.
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
     # Number of accelerators.
-    gpu: int = 0
-    est_runtime_ms: float = 0
-    after: tuple[int, ...] = ()
+    gpu: Amount = 0
+    est_runtime_ms: Milliseconds = 0
+    after: tuple[Serial, ...] = ()
     # Label that the worker must have; empty for any worker.
     constraints: str = ''
     # Rack that holds the input data.
     affinity: str = ''
     # Largest number of tasks of the step on one worker; 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: Serial = 0
     gang: bool = False
-    fill_count: int = 0
+    fill_count: Serial = 0
 
 
 class _Job(msgspec.Struct, rename='camel'):
@@ -53,7 +54,7 @@
     # The job runs until it is cancelled.
     long_running: bool = False
     # Number of scheduled occurrences; 0 for a job that runs once, at once.
-    times: int = 0
+    times: Serial = 0
 
 
 def is_job_key(text: str) -> bool:
@@ -144,6 +145,9 @@
     """
     parts = task.split('.')
     if len(parts) != _TASK_NAME_PARTS:
-        raise ValueError(task)
+        raise ValueError('not a task name')
     job, _, step, index = parts
-    return RunKey(TaskKey(JobKey(job), int(step), int(index)), number)
+    key = TaskKey(JobKey(job), int(step), int(index))
+    if min(key.step, key.index) < 0 or task != task_name(key):
+        raise ValueError('not a task name')
+    return RunKey(key, number)
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -3,7 +3,7 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -21,6 +21,12 @@
     """The settings file is unreadable, malformed or incomplete."""
 
 
+_MAX_PORT: Final = 65535
+_Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+#: Longest grace period in seconds: a day.
+_MAX_GRACE_SECONDS: Final = 86400
+
+
 class _Listeners(msgspec.Struct):
     # Listen addresses by client: callers, load balancer checks, and workers
     # together with operators.  Empty for none.
@@ -36,14 +42,14 @@
 
 class _Bounds(msgspec.Struct, rename='camel'):
     # Grace period from SIGTERM to SIGKILL, in seconds.
-    grace_s: float = 6
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_GRACE_SECONDS)] = 6
 
 
 class _SettingsFile(msgspec.Struct, rename='camel'):
     ip: str
     zone: str
     # First and last port of the range for traffic between instances.
-    ephemeral_ports: tuple[int, int]
+    ephemeral_ports: tuple[_Port, _Port]
     # Control addresses of up to three machines; may be out of date.
     seeds: tuple[str, ...] = ()
     # Whether this is the first start of the whole deployment.
@@ -89,7 +95,7 @@
     """
     try:
         document = tomllib.loads(Path(path).read_text('utf-8'))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise BadSettings(str(error)) from error
     return decode_settings(document)
 
--- a/src/cuminstack/platform/_worker_client.py
+++ b/src/cuminstack/platform/_worker_client.py
@@ -9,6 +9,7 @@
 
 from cuminstack.platform._jobs import task_name
 from cuminstack.platform._workers import (
+    BODY_ERRORS,
     decode_clock,
     decode_refusal,
     decode_view,
@@ -181,5 +182,5 @@
 ) -> _Decoded | NoAnswer:
     try:
         return decode(body)
-    except msgspec.DecodeError as error:
+    except BODY_ERRORS as error:
         return NoAnswer(str(error))
--- a/src/cuminstack/platform/_workers.py
+++ b/src/cuminstack/platform/_workers.py
@@ -2,13 +2,20 @@
 
 from collections.abc import Iterator
 from types import MappingProxyType
-from typing import Any, Final, Literal
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
 
 from cuminstack.core import EndpointId, ZoneName
 from cuminstack.logs import log_event
 from cuminstack.platform._jobs import decode_run
+from cuminstack.platform._numbers import (
+    Amount,
+    Milliseconds,
+    Percent,
+    Serial,
+    Timestamp,
+)
 from cuminstack.pool import (
     EndKind,
     EndpointReport,
@@ -21,6 +28,15 @@
 from cuminstack.settings import Address, LogLevel, NotReadable
 
 _MS_PER_SECOND: Final = 1000.0
+#: Longest text of a malformed row in the log, in characters.
+_MAX_LOGGED_ROW: Final = 200
+#: Raised for a body that can't be decoded.  Deeply nested JSON exceeds the
+#: recursion limit, even in a field that is skipped.
+BODY_ERRORS: Final = (msgspec.DecodeError, RecursionError)
+_REPORT_ERRORS: Final = (*BODY_ERRORS, NotReadable)
+
+#: A name that must not be empty.
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class BadReport(Exception):
@@ -28,37 +44,37 @@
 
 
 class _Capacity(msgspec.Struct, rename='camel'):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _Heartbeat(msgspec.Struct, rename='camel'):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: Literal['ready', 'draining']
-    sequence: int
+    sequence: Timestamp
     # Total capacity of the worker, not reduced by running tasks.
     free_capacity: _Capacity
     labels: tuple[str, ...] = ()
     # Remaining warm-up time, in which the worker is slower.
-    cold_left_ms: float = 0
+    cold_left_ms: Milliseconds = 0
     # Start time of the worker, in Unix milliseconds.
-    born: int = 0
+    born: Timestamp = 0
 
 
 class _RunLists(msgspec.Struct, rename='camel'):
-    clock_ms: int
+    clock_ms: Timestamp
     # Rows of task, run, checkpoint, percent and approximate load.
     running: list[Any]
     # Rows of number, task, run, kind of end and checkpoint.
     finished: list[Any]
-    born: int = 0
+    born: Timestamp = 0
 
 
 class _OrderAnswer(msgspec.Struct, rename='camel'):
-    clock_ms: int
+    clock_ms: Timestamp
     # Why the order was refused; empty if it was accepted.
     reason: str = ''
 
@@ -74,10 +90,11 @@
 )
 
 
-#: Task, run, checkpoint, percent.
-_ProgressRow = tuple[str, int, Any, float]
+#: Task and run; checkpoint and percent follow.
+_RunningRow = tuple[str, Serial]
+_PERCENT_COLUMN: Final = 3
 #: Number, task, run, kind of end.
-_EndRow = tuple[int, str, int, str]
+_EndRow = tuple[Timestamp, str, Serial, str]
 #: Raised for malformed rows: not a list, a wrong type, or not a run's name.
 _ROW_ERRORS: Final = (TypeError, msgspec.ValidationError, ValueError)
 
@@ -94,9 +111,11 @@
     """
     try:
         decoded = msgspec.json.decode(body, type=_Heartbeat)
-        Address.parse(decoded.address)
-    except (msgspec.DecodeError, NotReadable, RecursionError) as error:
+        address = Address.parse(decoded.address)
+    except _REPORT_ERRORS as error:
         raise BadReport(str(error)) from error
+    if not (address.port and is_endpoint_id(endpoint)):
+        raise BadReport('endpoint without a port or with a malformed id')
     capacity = decoded.free_capacity
     return EndpointReport(
         endpoint=EndpointId(endpoint),
@@ -112,6 +131,15 @@
     )
 
 
+def is_endpoint_id(text: str) -> bool:
+    """Return whether a text can name an endpoint.
+
+    The id is sent in a header of each order, so it may hold visible ASCII
+    characters only.
+    """
+    return bool(text) and text.isascii() and text.isprintable()
+
+
 def decode_clock(body: bytes) -> int:
     """Decode the worker's clock from the answer to an order.
 
@@ -120,6 +148,7 @@
 
     Raises:
         msgspec.DecodeError: The answer is malformed.
+        RecursionError: The answer is nested too deeply.
     """
     return msgspec.json.decode(body, type=_OrderAnswer).clock_ms
 
@@ -132,7 +161,7 @@
     """
     try:
         reason = msgspec.json.decode(body, type=_OrderAnswer).reason
-    except msgspec.DecodeError:
+    except BODY_ERRORS:
         return Refusal.invalid
     return _REFUSAL_BY_REASON.get(reason, Refusal.invalid)
 
@@ -144,6 +173,7 @@
 
     Raises:
         msgspec.DecodeError: The answer as a whole is malformed.
+        RecursionError: The answer is nested too deeply.
     """
     decoded = msgspec.json.decode(body, type=_RunLists)
     return EndpointView(
@@ -159,12 +189,33 @@
         try:
             yield decode_row(row)
         except _ROW_ERRORS as error:
-            log_event('worker.bad_row', LogLevel.warning, row=row, error=error)
+            log_event(
+                'worker.bad_row',
+                LogLevel.warning,
+                row=_describe_row(row),
+                error=error,
+            )
+
+
+def _describe_row(row: Any) -> str:
+    return msgspec.json.encode(row)[:_MAX_LOGGED_ROW].decode(errors='replace')
 
 
 def _decode_progress(row: list[Any]) -> RunProgress:
-    task, number, _, percent = msgspec.convert(row[:4], _ProgressRow)
-    return RunProgress(decode_run(task, number), percent)
+    task, number = msgspec.convert(row[:2], _RunningRow)
+    return RunProgress(decode_run(task, number), _decode_percent(row))
+
+
+def _decode_percent(row: list[Any]) -> float:
+    """Return the progress of a run; 0 if it is malformed.
+
+    The run must be listed all the same: a run that is missing in the list is
+    started again.
+    """
+    try:
+        return msgspec.convert(row[_PERCENT_COLUMN], Percent)
+    except (IndexError, msgspec.ValidationError):
+        return 0
 
 
 def _decode_end(row: list[Any]) -> RunEnd:
--- a/src/cuminstack/pool/_orders.py
+++ b/src/cuminstack/pool/_orders.py
@@ -30,6 +30,9 @@
 #: Factor on the work of a job for each level of lower priority: urgent jobs go
 #: first unless they are much larger.
 _PRIORITY_FACTOR: Final = 3.0
+#: Priority from which on lower priorities make no difference; the factor of
+#: an unlimited one would overflow.
+_MAX_PRIORITY: Final = 100
 #: Number of time limits of a job (objective, end of usefulness); each one it
 #: misses moves it down a band.
 _BANDS: Final = 2
@@ -89,7 +92,8 @@
     """
     finish = job.finish_time(now)
     ahead = [end for end in (job.objective, job.useful_until) if finish <= end]
-    weighted = job.waiting_work * _PRIORITY_FACTOR**job.terms.priority
+    priority = min(job.terms.priority, _MAX_PRIORITY)
+    weighted = job.waiting_work * _PRIORITY_FACTOR**priority
     key = (_BANDS - len(ahead), weighted, job.submission.arrived_at)
     if not ahead:
         return Rank(key)
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -32,6 +32,7 @@
     DOCUMENT_MESSAGES,
     DesiredStateRunner,
 )
+from cuminstack.roles._guard import contain_errors
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 from cuminstack.roles._rejected import log_rejected
 from cuminstack.roles._restart_state import EndpointStore, TermStore
@@ -82,7 +83,7 @@
         self._mesh = Mesh(
             settings.own,
             incarnation=time.time_ns(),
-            receive=self._receive,
+            receive=contain_errors(self._receive),
             reject=log_rejected,
         )
         self._candidate = Candidate(
@@ -182,8 +183,9 @@
         self._mesh.add_peers(controls)
 
     async def _tick_forever(self) -> None:
+        tick = contain_errors(self._tick)
         while True:
-            self._tick(steady_now())
+            tick(steady_now())
             await asyncio.sleep(TICK_SECONDS)
 
     def _tick(self, now: float) -> None:
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -27,6 +27,7 @@
     steady_now,
 )
 from cuminstack.roles._deputy import Deputy
+from cuminstack.roles._guard import contain_errors
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 from cuminstack.roles._rejected import log_rejected
 from cuminstack.settings import LogLevel
@@ -67,7 +68,7 @@
         self._mesh = Mesh(
             settings.own,
             incarnation=time.time_ns(),
-            receive=self._receive,
+            receive=contain_errors(self._receive),
             reject=log_rejected,
         )
         self._deputy = Deputy(settings, client=client, mesh=self._mesh)
@@ -174,18 +175,22 @@
 
     async def _tick_forever(self) -> None:
         ticks = 1
+        tick = contain_errors(self._tick)
         while True:
             now = steady_now()
-            self._deputy.tick(now=now, interval=ticks * TICK_SECONDS)
             self._ticks += ticks
-            if self._ticks % TICKS_PER_HEARTBEAT == 0:
-                self._send_beats()
-                self._perform(self._dispatcher_client.tick(now=now))
+            tick(now, ticks * TICK_SECONDS)
             # Only an entry that may have to dispatch needs every tick.
             is_busy = self._deputy.is_active(now=now)
             ticks = 1 if is_busy else self._ticks_to_heartbeat()
             await asyncio.sleep(ticks * TICK_SECONDS)
 
+    def _tick(self, now: float, interval: float) -> None:
+        self._deputy.tick(now=now, interval=interval)
+        if self._ticks % TICKS_PER_HEARTBEAT == 0:
+            self._send_beats()
+            self._perform(self._dispatcher_client.tick(now=now))
+
     def _ticks_to_heartbeat(self) -> int:
         return TICKS_PER_HEARTBEAT - self._ticks % TICKS_PER_HEARTBEAT
 
--- a/src/cuminstack/roles/_restart_state.py
+++ b/src/cuminstack/roles/_restart_state.py
@@ -65,8 +65,9 @@
         self._file = BackgroundFile(folder, name=_TERM_FILE)
 
     def load(self) -> int:
-        """Return the highest known term; 0 if none is saved."""
-        return int(self._file.load() or 0)
+        """Return the highest known term; 0 if none is saved or legible."""
+        record = self._file.load()
+        return int(record) if record.isdigit() else 0
 
     def save_in_background(self, term: int) -> None:
         """Start to save the highest known term."""
@@ -87,7 +88,7 @@
             return ()
         try:
             decoded: Any = cbor2.loads(record)
-        except (cbor2.CBORError, ValueError) as error:
+        except (cbor2.CBORError, ValueError, RecursionError) as error:
             return _damaged(error)
         try:
             return msgspec.convert(decoded, tuple[EndpointReport, ...])
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -153,6 +153,23 @@
         assert request.queue == 'r'
         assert round(seconds * 1000) == 750
 
+    @pytest.mark.parametrize(
+        ('header', 'expected'),
+        [('nan', 2), ('-1', 2), ('x', 2), ('inf', 3600), ('1e400', 3600)],
+    )
+    async def test_odd_deadline(
+        self,
+        entry: _EntryHarness,
+        caller: CallerClient,
+        header: str,
+        expected: int,
+    ) -> None:
+        """A job never waits without an end."""
+        entry.apply_state()
+        headers = {'X-Deadline-Ms': header}
+        await caller.submit(**headers)
+        assert entry.role.jobs[0][1] == expected
+
     @pytest.mark.parametrize(
         ('change', 'status'),
         [
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -13,6 +13,8 @@
 from bench.pool import SERVICE, FakeWorker
 
 from cuminstack.core import EndpointId, InstanceId, JobKey
+from cuminstack.document import Chosen
+from cuminstack.document._records import EMPTY_VALUE, NO_BALLOT
 from cuminstack.fleet import Answer, Completed, Election, EntryBeat
 from cuminstack.links import Mesh
 from cuminstack.pool import (
@@ -149,6 +151,43 @@
             assert fleet.control.term >= term_before + 2
 
 
+@pytest.mark.asyncio
+class TestUnexpectedErrors:
+    """An error in one message or tick leaves the process working.
+
+    Guards against one message that raises in its handler, or one tick that
+    fails, ending the links or all later ticks of an instance.
+    """
+
+    async def test_tick_and_message(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        calls = {'tick': 0, 'message': 0}
+
+        def fail(name: str) -> Callable[..., None]:
+            def raise_error(*args: object, **kwargs: object) -> None:
+                calls[name] += 1
+                raise OverflowError(name)
+
+            return raise_error
+
+        fleet = _Fleet(tmp_path)
+        entry = fleet.entries[0]
+        async with fleet.run():
+            with monkeypatch.context() as patched:
+                patched.setattr(EntryRole, '_apply_value', fail('message'))
+                patched.setattr(Candidate, 'tick', fail('tick'))
+                chosen = Chosen(NO_BALLOT, EMPTY_VALUE)
+                entry._mesh.send(entry._settings.own, chosen)
+                await fleet.wait_until(
+                    lambda: calls['tick'] > 9 and calls['message'] > 0
+                )
+            await fleet.wait_until(
+                lambda: entry.dispatcher == fleet.control_name,
+            )
+            assert await fleet.run_job('after') == DONE
+
+
 class _NullMesh:
     """A mesh without links."""
 
