Compress large frames on links, and ping idle links less often

A third of the frames of an idle fleet were pings, as each of the hundreds of links was pinged each 0.7 s.

--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -20,6 +20,8 @@
 
 from cuminstack import wire
 from cuminstack.core import InstanceId
+from cuminstack.links._deflate import ClientDeflate, server_deflate
+from cuminstack.links._keepalive import keep_alive
 from cuminstack.settings import Address
 
 #: Largest number of frames queued for a link; the oldest are dropped.
@@ -35,8 +37,8 @@
 #: Time-out of the closing handshake, in seconds.
 _CLOSE_SECONDS: Final = 0.5
 
-#: Default interval of keepalive pings and time-out of their answers, in
-#: seconds.
+#: Default interval of keepalive pings on a link in use, and time-out of their
+#: answers, in seconds.
 _PING_SECONDS: Final = 10.0
 
 _DIAL_ERRORS: Final = (OSError, TimeoutError, InvalidHandshake, EOFError)
@@ -72,8 +74,8 @@
         on_refused: Called when the peer's address refuses a connection, which
             indicates that the process has ended.
         open_seconds: Time-out for opening the link, in seconds.
-        ping_seconds: Interval of keepalive pings and time-out of their
-            answers, in seconds.
+        ping_seconds: Interval of keepalive pings on a link in use, and
+            time-out of their answers, in seconds.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self._queued_frames: deque[bytes] = deque(maxlen=_MAX_QUEUED_FRAMES)
         self._wake = asyncio.Event()
         self._connection: ClientConnection | None = None
+        self._sent = 0
 
     @property
     def is_open(self) -> bool:
@@ -106,6 +109,7 @@
         if self._connection is None:
             return
         self._queued_frames.append(frame)
+        self._sent += 1
         self._wake.set()
 
     def reset(self) -> None:
@@ -132,11 +136,11 @@
             connection = await connect(
                 f'ws://{self._address}',
                 compression=None,
+                extensions=(ClientDeflate(),),
                 proxy=None,
                 open_timeout=self._open_seconds,
                 close_timeout=_CLOSE_SECONDS,
-                ping_interval=self._ping_seconds,
-                ping_timeout=self._ping_seconds,
+                ping_interval=None,
                 max_size=wire.MAX_FRAME_BYTES,
             )
         except ConnectionRefusedError:
@@ -144,9 +148,17 @@
             return False
         except _DIAL_ERRORS:
             return False
+        pinger = asyncio.create_task(
+            keep_alive(
+                connection,
+                seconds=self._ping_seconds,
+                count_sent=lambda: self._sent,
+            )
+        )
         try:
             await self._send_until_closed(connection)
         finally:
+            pinger.cancel()
             await self._disconnect(connection)
         return True
 
@@ -201,6 +213,7 @@
             address.host,
             address.port,
             compression=None,
+            extensions=(server_deflate(),),
             close_timeout=_CLOSE_SECONDS,
             ping_interval=None,
             max_size=wire.MAX_FRAME_BYTES,
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,97 @@
+"""Links between instances, over the loopback interface."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from bench._polling import until
+from bench._ports import LOOPBACK, free_ports
+
+from cuminstack import wire
+from cuminstack.core import InstanceId, JobKey
+from cuminstack.fleet import EntryBeat
+from cuminstack.links._links import Hello, PeerLink, PeerListener
+from cuminstack.settings import Address
+
+OWN = InstanceId('a')
+#: Heartbeats of a busy entry, which differ in a few jobs.
+BEATS = 50
+JOBS = 40
+TIMEOUT_SECONDS = 30
+
+
+class _Link:
+    """A link and what arrives at its other end."""
+
+    def __init__(self) -> None:
+        self.received: list[Any] = []
+        self.sent_bytes = 0
+        self._arrived = asyncio.Event()
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[PeerLink]:
+        address = Address(LOOPBACK, *free_ports(1))
+        listener = PeerListener(
+            None, receive=self._receive, reject=lambda *_: None
+        )
+        await listener.start(address)
+
+        async def link_opens() -> bool:
+            return link.is_open
+
+        link = PeerLink(
+            address,
+            Hello(OWN, 1),
+            max_retry_seconds=0.1,
+            on_refused=lambda: None,
+        )
+        task = asyncio.create_task(link.run())
+        await until(link_opens, seconds=TIMEOUT_SECONDS)
+        self._count_bytes(link)
+        yield link
+        task.cancel()
+        await listener.stop()
+
+    async def wait_for(self, count: int) -> None:
+        while len(self.received) < count:
+            self._arrived.clear()
+            await self._arrived.wait()
+
+    def _receive(self, sender: InstanceId, message: Any) -> None:
+        self.received.append(message)
+        self._arrived.set()
+
+    def _count_bytes(self, link: PeerLink) -> None:
+        assert link._connection is not None
+        transport: Any = link._connection.transport
+        write = transport.write
+
+        def count_and_write(chunk: bytes) -> None:
+            self.sent_bytes += len(chunk)
+            write(chunk)
+
+        transport.write = count_and_write
+
+
+@pytest.mark.asyncio
+class TestCompression:
+    """Frames repeat the ones before them, and cost traffic between zones."""
+
+    async def test_repetitive_frames(self) -> None:
+        """Guards against heartbeats that carry each job's key in full."""
+        link = _Link()
+        jobs = [JobKey(os.urandom(8).hex()) for _ in range(JOBS + BEATS)]
+        beats = [
+            EntryBeat(stamp, 1, OWN, tuple(jobs[stamp : stamp + JOBS]))
+            for stamp in range(BEATS)
+        ]
+        async with link.run() as peer_link:
+            for beat in beats:
+                peer_link.send(wire.encode(beat))
+            await link.wait_for(BEATS)
+        assert link.received == beats
+        uncompressed = b''.join(map(wire.encode, beats))
+        assert link.sent_bytes < len(uncompressed) / 2
