Don't take a late dispatcher or its entries for lost

It gave up all jobs as the leases of their entries had ended, though their heartbeats were waiting to be read; its own heartbeats, counted in late ticks, came too late for the next deputy, which led beside it; entries sent each job again every 0.15 s, which kept it late; and whether all endpoints had joined was looked up for each waiting job. Change: a lease has to be over for two turns; heartbeats are timed; the interval of resends doubles; the joined endpoints are counted once an event. The new tests in tests/test_fleet.py fail before; test_delayed_heartbeat_renews_no_lease has one more turn, as a single one no longer ends a lease.

--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -39,7 +39,9 @@
 _RUNS_EXPIRE_SECONDS: Final = (
     ENTRY_LEASE_SECONDS + LEASE_SECONDS + _STOP_MARGIN_SECONDS
 )
-#: Seconds after which a submission without a reply is sent again.
+#: Seconds after which a submission without a reply is sent again.  The time
+#: doubles with each attempt, as a dispatcher that is late has to read and
+#: answer each copy.
 _RESEND_SECONDS: Final = 0.15
 #: Seconds without a dispatcher after which jobs that wait for one are refused.
 #: A takeover takes about half of this.
@@ -285,7 +287,8 @@
         effects: list[Effect] = []
         for pending in self._pending.values():
             waited = now - pending.sent_at
-            if not pending.taken and waited > _RESEND_SECONDS:
+            resend_after = math.ldexp(_RESEND_SECONDS, pending.attempts - 1)
+            if not pending.taken and waited > resend_after:
                 effects.extend(self._send(pending, now))
         return tuple(effects)
 
@@ -318,6 +321,8 @@
     def _send(self, pending: PendingJob, now: float) -> Effects:
         if self._leader is None or not self.has_leader(now=now):
             return ()
+        is_same = pending.sent_to == self._leader and not pending.taken
+        pending.attempts = pending.attempts + 1 if is_same else 1
         pending.sent_to = self._leader
         pending.sent_at = now
         pending.sent_term = self._term
--- a/src/cuminstack/fleet/_dispatcher_service.py
+++ b/src/cuminstack/fleet/_dispatcher_service.py
@@ -47,6 +47,7 @@
         self._dispatcher = dispatcher
         self._leases: dict[InstanceId, float] = {}
         self._jobs: dict[InstanceId, set[JobKey]] = {}
+        self._last_tick_at: float = 0
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -140,10 +141,17 @@
         )
 
     def tick(self, *, now: float) -> Effects:
-        """Stop the jobs of entries whose lease has expired."""
+        """Stop the jobs of entries whose lease has expired.
+
+        A lease must have expired by the previous tick.  If this process was
+        late, heartbeats that came meanwhile are read only after the first
+        tick.
+        """
         effects: list[Effect] = []
+        expired_by = min(now, self._last_tick_at)
+        self._last_tick_at = now
         for entry, end in tuple(self._leases.items()):
-            if now >= end:
+            if expired_by >= end:
                 effects.extend(self._drop_unlisted(entry, frozenset(), now))
                 self._jobs.pop(entry, None)
                 self._leases.pop(entry)
--- a/src/cuminstack/fleet/_pending.py
+++ b/src/cuminstack/fleet/_pending.py
@@ -20,6 +20,7 @@
         deadline: When its caller stops waiting.
         sent_to: The dispatcher that it was last sent to.
         sent_at: When it was last sent.
+        attempts: How often it was sent to that dispatcher.
         taken: Whether that dispatcher has confirmed the job.
         may_have_run: Whether an earlier dispatcher may have started tasks of
             it.
@@ -33,6 +34,7 @@
     deadline: float
     sent_to: InstanceId | None = None
     sent_at: float = 0
+    attempts: int = 0
     taken: bool = False
     may_have_run: bool = False
     may_run_until: float = 0
--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -9,7 +9,7 @@
 from cuminstack.pool._exchange import StartRun
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
-from cuminstack.pool._queue import JobQueue, WaitingJob
+from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._rooms import CapacityIndex, StartCandidates
 from cuminstack.pool._watch import LEASE_SECONDS
 
@@ -37,6 +37,8 @@
         self._capacity_index = capacity_index
         self._queue = queue
         self._entry_contacts: dict[InstanceId, float] = {}
+        # Computed at most once for all jobs that wait; None until it is needed.
+        self._has_joined_all: bool | None = None
 
     def record_entry_contact(self, entry: InstanceId, stamp: float) -> None:
         """Record that an entry instance has been in contact.
@@ -57,6 +59,7 @@
             name: StartCandidates(self._capacity_index, name, now=now)
             for name in min_millicores
         }
+        self._has_joined_all = None
         exhausted = {
             name
             for name in min_millicores
@@ -67,29 +70,23 @@
             if len(exhausted) == len(candidates_of):
                 break
             candidates = candidates_of[waiting.service]
-            if not self._may_start(waiting, candidates, now):
+            if waiting.millicores > candidates.max_millicores:
+                continue
+            if not self._may_start(waiting.job, now):
                 continue
             effects.extend(self._place(waiting.job, candidates, now))
             if candidates.max_millicores < min_millicores[waiting.service]:
                 exhausted.add(waiting.service)
         return tuple(effects)
 
-    def _may_start(
-        self,
-        waiting: WaitingJob,
-        candidates: StartCandidates,
-        now: float,
-    ) -> bool:
-        """Return whether tasks of a job may be started and may fit.
+    def _may_start(self, job: Job, now: float) -> bool:
+        """Return whether tasks of a job may be started.
 
         A silent entry instance may have handed the job to another dispatcher,
         so its jobs start nothing.  A job that may still run elsewhere waits
         until its `held_until` has passed or all known endpoints have joined;
         if it may run on unknown endpoints, only the time counts.
         """
-        if waiting.millicores > candidates.max_millicores:
-            return False
-        job = waiting.job
         silence = now - self._entry_contacts.get(job.submission.entry, 0)
         if silence > _MAX_ENTRY_SILENCE_SECONDS:
             return False
@@ -97,7 +94,11 @@
             return True
         if job.submission.may_run_elsewhere:
             return False
-        return all(endpoint.has_joined for endpoint in self._endpoints.values())
+        if self._has_joined_all is None:
+            self._has_joined_all = all(
+                endpoint.has_joined for endpoint in self._endpoints.values()
+            )
+        return self._has_joined_all
 
     def _place(
         self,
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -25,7 +25,7 @@
 from cuminstack.roles._candidate import Candidate
 from cuminstack.roles._clock import (
     TICK_SECONDS,
-    TICKS_PER_HEARTBEAT,
+    HeartbeatTimer,
     steady_now,
 )
 from cuminstack.roles._desired_state import (
@@ -41,12 +41,12 @@
 #: Ticks between two saves of the known endpoints: five seconds, since after a
 #: restart their heartbeats supply what was not saved.
 _ENDPOINT_SAVE_TICKS: Final = 250
-#: Ticks between heartbeats to deputies while this instance doesn't lead: two
+#: While this instance doesn't lead, each third heartbeat goes to deputies: two
 #: fit into the silence after which a deputy stands for election.
-_IDLE_DEPUTY_BEAT_TICKS: Final = 15
-#: Ticks between heartbeats to all entries while this instance doesn't lead;
-#: they only announce that it is reachable.
-_IDLE_ENTRY_BEAT_TICKS: Final = 50
+_IDLE_DEPUTY_BEATS: Final = 3
+#: While it doesn't lead, each tenth heartbeat goes to all entries; it only
+#: announces that the instance is reachable.
+_IDLE_ENTRY_BEATS: Final = 10
 #: Ticks between two batches of endpoint heartbeats that report no change; an
 #: endpoint sends a heartbeat every 1.5 s.
 _REPORT_FLUSH_TICKS: Final = 10
@@ -78,6 +78,8 @@
         self._heartbeat_buffer = HeartbeatBuffer()
         self._endpoint_store = EndpointStore(settings.data_folder)
         self._ticks = 0
+        self._heartbeat_timer = HeartbeatTimer()
+        self._beats = 0
         self._is_leaving = False
         self._ticker: asyncio.Task[None] | None = None
         self._mesh = Mesh(
@@ -194,7 +196,7 @@
         self._candidate.tick(now=now)
         self._term_store.save_in_background(self._election.highest_term)
         self._desired_state.tick(self._controls)
-        if self._ticks % TICKS_PER_HEARTBEAT == 0:
+        if self._heartbeat_timer.is_due(now=now):
             self._send_beats(now)
         elif self._candidate.leads and not was_leader:
             self._send_leader_beats(now)
@@ -213,6 +215,7 @@
         )
 
     def _send_beats(self, now: float) -> None:
+        self._beats += 1
         beat = ControlBeat(
             term=max(self._election.term, self._election.highest_term),
             leads=self._candidate.leads,
@@ -222,9 +225,9 @@
             leaves=self._is_leaving,
         )
         self._mesh.send_all(self._controls, beat)
-        if self._candidate.leads or self._ticks % _IDLE_ENTRY_BEAT_TICKS == 0:
+        if self._candidate.leads or self._beats % _IDLE_ENTRY_BEATS == 0:
             self._send_leader_beats(now)
-        elif self._ticks % _IDLE_DEPUTY_BEAT_TICKS == 0:
+        elif self._beats % _IDLE_DEPUTY_BEATS == 0:
             self._send_leader_beats(now, only=self._deputies(now))
 
     def _send_leader_beats(
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -11,7 +11,7 @@
 )
 from cuminstack.links import Mesh
 from cuminstack.roles._candidate import Candidate
-from cuminstack.roles._clock import TICKS_PER_HEARTBEAT, steady_now
+from cuminstack.roles._clock import HeartbeatTimer, steady_now
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 
 
@@ -34,7 +34,7 @@
         self._own = settings.own
         self._mesh = mesh
         self._other_deputies: tuple[InstanceId, ...] = ()
-        self._ticks = 0
+        self._heartbeat_timer = HeartbeatTimer()
         self._election = DeputyElection(settings.own, now=steady_now())
         self._candidate = Candidate(
             settings.own,
@@ -67,10 +67,9 @@
             now: The present time.
             interval: Planned seconds since the last tick.
         """
-        self._ticks += 1
         was_leader = self._candidate.leads
         self._candidate.tick(now=now, interval=interval)
-        is_heartbeat_due = self._ticks % TICKS_PER_HEARTBEAT == 0
+        is_heartbeat_due = self._heartbeat_timer.is_due(now=now)
         if is_heartbeat_due and self._election.has_lost_controls(now=now):
             self._send_deputy_beats(now)
         if self._candidate.leads and (is_heartbeat_due or not was_leader):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -279,6 +279,17 @@
         client.receive(ONE, Taken(KEY), now=0.2)
         assert not client.tick(now=0.3)
 
+    # Guards against a late dispatcher that is kept late by copies of what it
+    # has not read yet.
+    def test_unanswered_submission_is_sent_ever_less_often(self) -> None:
+        client = self._client()
+        sent = len(self._submit(client))
+        for tick in range(1, 20):
+            now = tick / 10
+            client.receive_leader_beat(ONE, LeaderBeat(1, now, (), {}), now=now)
+            sent += len(client.tick(now=now))
+        assert sent <= 5
+
     def test_ended_job_is_answered(self) -> None:
         client = self._client()
         self._submit(client)
@@ -452,6 +463,27 @@
         self._submit(service, resumed=True)
         service.receive_beat(ENTRY, EntryBeat(10.1, 1, ONE, (KEY,)), now=14)
         service.tick(now=14)
+        service.tick(now=14.02)
+        assert not service.dispatcher.has_active_job(KEY)
+
+    # Guards against jobs that are given up in the first turn of a dispatcher
+    # that was late, before it reads the heartbeats that came meanwhile.
+    def test_late_dispatcher_keeps_jobs_of_live_entries(self) -> None:
+        service = self._service()
+        self._submit(service, resumed=True)
+        for late in (11, 12, 13):
+            service.tick(now=late)
+            assert service.dispatcher.has_active_job(KEY)
+            beat = EntryBeat(late - 0.01, 1, ONE, (KEY,))
+            service.receive_beat(ENTRY, beat, now=late)
+
+    def test_silent_entry_loses_its_jobs(self) -> None:
+        service = self._service()
+        self._submit(service, resumed=True)
+        service.tick(now=10.39)
+        service.tick(now=10.41)
+        assert service.dispatcher.has_active_job(KEY)
+        service.tick(now=10.43)
         assert not service.dispatcher.has_active_job(KEY)
 
     def test_job_of_another_entry_is_kept(self) -> None:
