Let a lone dispatcher go on carrying its own orders

Cause: its own reply to its first orders was taken for a carrier's echo. Change: its own replies are no echoes. Before: test_lone_dispatcher_goes_on in tests/test_carriage.py fails; after: it passes.

--- a/src/cuminstack/fleet/_carrier_selector.py
+++ b/src/cuminstack/fleet/_carrier_selector.py
@@ -124,7 +124,13 @@
         return self._candidates
 
     def record_echo(self, carrier: InstanceId, echo: Echo) -> None:
-        """Record an echo of a carrier, unless a later one is known."""
+        """Record an echo of a carrier, unless a later one is known.
+
+        This instance's own replies are no echoes: none is requested from it, so
+        the first one would age until its own orders count as delayed.
+        """
+        if carrier == self._own:
+            return
         known = self._echoes.get(carrier)
         # Compared by the dispatcher's clock, since a carrier's own clock
         # restarts with its machine.
--- a/tests/test_carriage.py
+++ b/tests/test_carriage.py
@@ -164,6 +164,18 @@
         harness.advance()
         assert harness.route(_start()) == OWN
 
+    # Guards against a dispatcher whose carriers are all lost: its own reply was
+    # taken for an echo, which nothing renews, and after a second it dropped all
+    # its orders as delayed.
+    def test_lone_dispatcher_goes_on(self) -> None:
+        harness = _RouterHarness(())
+        harness.advance()
+        for _ in range(20):
+            batch = _only(harness.flush(_start()))
+            harness.answer(batch.to)
+            assert batch.message.heard == harness.now
+            harness.advance()
+
     def test_first_orders_wait_for_carriers(self) -> None:
         harness = _RouterHarness()
         assert not harness.flush(_start())
