Divide the zones among deputies where one entry is not enough

Cause: without control instances, one entry took over all endpoints. Change: entries tell for how many endpoints they can dispatch, from their processor time; control instances divide the zones into as few shards as that asks for, each with two deputies of its own zones, which get its endpoints' heartbeats only. Small deployments have one shard and three deputies, as before.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -41,6 +41,13 @@
     Taken,
     UnknownJobs,
 )
+from cuminstack.fleet._shards import (
+    DeputyPlan,
+    DeputyShard,
+    EntryInfo,
+    endpoint_capacity,
+    plan_deputies,
+)
 
 __all__ = (
     'HEARTBEAT_TIMEOUT_SECONDS',
@@ -52,6 +59,8 @@
     'Completed',
     'ControlBeat',
     'DeputyElection',
+    'DeputyPlan',
+    'DeputyShard',
     'DispatcherClient',
     'DispatcherService',
     'Dropped',
@@ -60,6 +69,7 @@
     'EndpointLeft',
     'EndpointReports',
     'EntryBeat',
+    'EntryInfo',
     'Failure',
     'HeartbeatBuffer',
     'LeaderBeat',
@@ -74,4 +84,6 @@
     'UnknownJobs',
     'choose_deputies',
     'choose_evenly_spaced',
+    'endpoint_capacity',
+    'plan_deputies',
 )
--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.core import InstanceId, JobKey, Send, ZoneName
 from cuminstack.fleet._answers import (
     Answer,
     Answered,
@@ -49,7 +49,7 @@
 #: Retry-after, in seconds, of an entry that is about to end; the caller then
 #: reaches another entry.
 _LEAVING_RETRY_SECONDS: Final = 1.0
-
+_NO_ZONE: Final = ZoneName('')
 
 Effect = Send | Answered
 Effects = tuple[Effect, ...]
@@ -63,9 +63,20 @@
 
     Args:
         now: The present time in seconds.
+        zone: Availability zone of the entry.
+        capacity: Number of endpoints that the entry can dispatch for; 0 if it
+            isn't known.
     """
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        now: float,
+        zone: ZoneName = _NO_ZONE,
+        capacity: int = 0,
+    ) -> None:
+        self._zone = zone
+        self._capacity = capacity
         self._pending: dict[JobKey, PendingJob] = {}
         self._leader: InstanceId | None = None
         self._has_resigned = False
@@ -166,14 +177,22 @@
         """
         stamp = self._stamps.get(control, 0)
         leader = self._leader if self.has_leader(now=now) else None
-        if control != self._leader:
-            return EntryBeat(stamp, version, leader, term=self._term)
-        jobs = tuple(
-            key
-            for key, pending in self._pending.items()
-            if pending.sent_to == control
+        jobs = None
+        if control == self._leader:
+            jobs = tuple(
+                key
+                for key, pending in self._pending.items()
+                if pending.sent_to == control
+            )
+        return EntryBeat(
+            stamp,
+            version,
+            leader,
+            jobs,
+            term=self._term,
+            zone=self._zone,
+            capacity=self._capacity,
         )
-        return EntryBeat(stamp, version, leader, jobs, term=self._term)
 
     def receive_leader_beat(
         self,
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from cuminstack.core import InstanceId, JobKey
+from cuminstack.core import InstanceId, JobKey, ZoneName
 from cuminstack.pool import (
     EndpointReport,
     JobRequest,
@@ -47,8 +47,11 @@
         controls: Control instances that the sender knows.
         waiting: Number of jobs of which no task was started, by queue.
         deputies: Entries that may dispatch if all control instances are lost.
-        entries: Number of entries that the sender is in touch with.
+        entries: Number of entries that follow the same deputies and that the
+            sender is in touch with.
         from_deputy: Whether the sender is one of the deputies.
+        zones: Availability zones of the endpoints that those deputies have;
+            empty for all.
     """
 
     term: int
@@ -58,6 +61,7 @@
     deputies: tuple[InstanceId, ...] = ()
     entries: int = 0
     from_deputy: bool = False
+    zones: tuple[ZoneName, ...] = ()
 
 
 @message('fleet.entry_beat')
@@ -73,6 +77,9 @@
         jobs: Jobs that the entry sent to the receiver and whose callers are
             waiting; None if the receiver isn't its dispatcher.
         term: Term of the entry's present or last dispatcher.
+        zone: Availability zone of the entry.
+        capacity: Number of endpoints that the entry can dispatch for; 0 if it
+            isn't known.
     """
 
     stamp: float
@@ -80,6 +87,8 @@
     leader: InstanceId | None
     jobs: tuple[JobKey, ...] | None = None
     term: int = 0
+    zone: ZoneName = ZoneName('')
+    capacity: int = 0
 
 
 @message('fleet.submit')
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -23,6 +23,8 @@
 
 _MAX_PORT: Final = 65535
 _Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+#: More cores than any machine has.
+_MAX_CORES: Final = 10000
 #: Longest grace period in seconds: a day.
 _MAX_GRACE_SECONDS: Final = 86400
 
@@ -40,6 +42,12 @@
     machines: int = 0
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    # Share of a core, and how many times as fast as usual it is.
+    cpu_share: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1
+    cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1
+
+
 class _Bounds(msgspec.Struct, rename='camel'):
     # Grace period from SIGTERM to SIGKILL, in seconds.
     grace_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_GRACE_SECONDS)] = 6
@@ -57,6 +65,7 @@
     data_dir: str = ''
     listen_addrs: _Listeners = msgspec.field(default_factory=_Listeners)
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -122,6 +131,7 @@
         tolerated_failures=decoded.fault_tolerance.machines,
         data_folder=Path(decoded.data_dir) if decoded.data_dir else None,
         order=_SCHEDULING_ORDER,
+        cores=decoded.limits.cpu_share * decoded.limits.cores,
     )
     return PlatformSettings(
         role=role,
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-from cuminstack.core import EndpointId, InstanceId
+from cuminstack.core import EndpointId, InstanceId, ZoneName
 from cuminstack.fleet import (
     Carried,
     Carry,
@@ -13,6 +13,7 @@
     EndpointLeft,
     EndpointReports,
     EntryBeat,
+    EntryInfo,
     LeaderBeat,
     Submit,
     choose_evenly_spaced,
@@ -88,6 +89,8 @@
         self._dispatcher: ActiveDispatcher | None = None
         self._last_heartbeats: dict[InstanceId, float] = {}
         self._contact_since: dict[InstanceId, float] = {}
+        self._entry_infos: dict[InstanceId, EntryInfo] = {}
+        self._zones: frozenset[ZoneName] = frozenset()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
             report.endpoint: (report, steady_now()) for report in reports
         }
@@ -130,6 +133,21 @@
             if now - received_at < _CONTACT_TIMEOUT_SECONDS
         )
 
+    def entry_infos(self, *, now: float) -> dict[InstanceId, EntryInfo]:
+        """Return what the connected entries said of themselves."""
+        return {
+            entry: self._entry_infos[entry]
+            for entry in self.connected_entries(now=now)
+        }
+
+    def zone_of(self, entry: InstanceId) -> ZoneName:
+        """Return the availability zone of a known entry."""
+        return self._entry_infos[entry].zone
+
+    def cover(self, zones: Iterable[ZoneName]) -> None:
+        """Dispatch only for endpoints in some zones; all if there are none."""
+        self._zones = frozenset(zones)
+
     def contact_seconds(self, entry: InstanceId, *, now: float) -> float:
         """Return the seconds for which an entry has been in contact.
 
@@ -216,6 +234,7 @@
         for entry, received_at in tuple(self._last_heartbeats.items()):
             if beat.stamp - received_at > _ENTRY_TIMEOUT_SECONDS:
                 self._last_heartbeats.pop(entry)
+                self._entry_infos.pop(entry, None)
                 self._mesh.leave(entry)
         self._mesh.send_all(
             self._last_heartbeats if only is None else only, beat
@@ -249,7 +268,7 @@
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Record a heartbeat of an endpoint."""
         self._reports[report.endpoint] = (report, now)
-        if self._dispatcher is not None:
+        if self._dispatcher is not None and self._covers(report):
             self._dispatcher.observe(report, now=now)
 
     def remove_endpoint(self, endpoint: EndpointId, *, now: float) -> None:
@@ -277,9 +296,13 @@
             now=now,
         )
         for report, received_at in tuple(self._reports.values()):
-            if now - received_at < _REPORT_LIFETIME_SECONDS:
+            is_recent = now - received_at < _REPORT_LIFETIME_SECONDS
+            if is_recent and self._covers(report):
                 self._dispatcher.observe(report, now=now)
 
+    def _covers(self, report: EndpointReport) -> bool:
+        return not self._zones or report.zone in self._zones
+
     def _entry_carriers(self, now: float) -> tuple[InstanceId, ...]:
         entries = set(self.connected_entries(now=now)) - {self._own}
         return choose_evenly_spaced(entries, most=_MAX_ENTRY_CARRIERS)
@@ -294,7 +317,10 @@
         submit: Submit,
         now: float,
     ) -> None:
-        is_warm = self.contact_seconds(entry, now=now) > _WARM_UP_SECONDS
+        # Tasks may run at endpoints that this instance doesn't cover.
+        is_warm = not self._zones and (
+            self.contact_seconds(entry, now=now) > _WARM_UP_SECONDS
+        )
         dispatcher.submit(entry, submit, is_warm=is_warm, now=now)
 
     def _receive_entry_beat(
@@ -312,6 +338,7 @@
         ):
             self._contact_since[sender] = now
         self._last_heartbeats[sender] = now
+        self._entry_infos[sender] = EntryInfo(beat.zone, beat.capacity)
         self._election.record_leader_report(
             sender,
             beat.leader,
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any, Final
@@ -11,13 +12,15 @@
 from cuminstack.fleet import (
     HEARTBEAT_TIMEOUT_SECONDS,
     ControlBeat,
+    DeputyPlan,
+    DeputyShard,
     Election,
     EndpointLeft,
     EndpointReports,
     EntryBeat,
     HeartbeatBuffer,
     LeaderBeat,
-    choose_deputies,
+    plan_deputies,
 )
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
@@ -76,6 +79,7 @@
         # Time of the last heartbeat of each; 0 before the first.
         self._controls: dict[InstanceId, float] = {}
         self._heartbeat_buffer = HeartbeatBuffer()
+        self._plan = DeputyPlan()
         self._endpoint_store = EndpointStore(settings.data_folder)
         self._ticks = 0
         self._heartbeat_timer = HeartbeatTimer()
@@ -147,14 +151,16 @@
     def observe(self, report: EndpointReport) -> None:
         """Record a heartbeat of an endpoint and forward it to candidates."""
         now = steady_now()
-        self._send_to_candidates(self._heartbeat_buffer.add(report), now)
+        self._send_to_candidates(self._heartbeat_buffer.add(report))
         self._candidate.observe(report, now=now)
 
     def endpoint_left(self, endpoint: EndpointId) -> None:
         """Remove an endpoint that has deregistered, and notify candidates."""
         now = steady_now()
         self._heartbeat_buffer.forget(endpoint)
-        self._mesh.send_all(self._candidates(now), EndpointLeft(endpoint))
+        self._mesh.send_all(
+            (*self._controls, *self._plan.deputies), EndpointLeft(endpoint)
+        )
         self._candidate.remove_endpoint(endpoint, now=now)
 
     async def submit(self, version: int, body: bytes) -> Outcome:
@@ -165,18 +171,23 @@
         """Query a majority for the desired state in force."""
         return await self._desired_state.read()
 
-    def _candidates(self, now: float) -> tuple[InstanceId, ...]:
-        """Return the other instances that may be elected to dispatch."""
-        return (*self._controls, *self._deputies(now))
-
-    def _send_to_candidates(
-        self, reports: EndpointReports | None, now: float
-    ) -> None:
-        if reports is not None:
-            self._mesh.send_all(self._candidates(now), reports)
-
-    def _deputies(self, now: float) -> tuple[InstanceId, ...]:
-        return choose_deputies(self._candidate.connected_entries(now=now))
+    def _send_to_candidates(self, reports: EndpointReports | None) -> None:
+        """Forward heartbeats to the instances that may dispatch."""
+        if reports is None:
+            return
+        self._mesh.send_all(self._controls, reports)
+        for shard in self._plan.shards:
+            selected = shard.select(reports)
+            if selected.reports:
+                self._mesh.send_all(shard.deputies, selected)
+
+    def _update_plan(self, now: float) -> None:
+        self._plan = plan_deputies(
+            self._candidate.entry_infos(now=now),
+            endpoints=Counter(
+                report.zone for report in self._candidate.reports
+            ),
+        )
 
     def _connect_controls(self, controls: tuple[InstanceId, ...]) -> None:
         for control in controls:
@@ -201,7 +212,7 @@
         elif self._candidate.leads and not was_leader:
             self._send_leader_beats(now)
         if self._ticks % _REPORT_FLUSH_TICKS == 0:
-            self._send_to_candidates(self._heartbeat_buffer.flush(), now)
+            self._send_to_candidates(self._heartbeat_buffer.flush())
         if self._ticks % _ENDPOINT_SAVE_TICKS == 0:
             self._save_endpoints(now)
 
@@ -215,6 +226,7 @@
         )
 
     def _send_beats(self, now: float) -> None:
+        self._update_plan(now)
         self._beats += 1
         beat = ControlBeat(
             term=max(self._election.term, self._election.highest_term),
@@ -228,7 +240,7 @@
         if self._candidate.leads or self._beats % _IDLE_ENTRY_BEATS == 0:
             self._send_leader_beats(now)
         elif self._beats % _IDLE_DEPUTY_BEATS == 0:
-            self._send_leader_beats(now, only=self._deputies(now))
+            self._send_leader_beats(now, only=self._plan.deputies)
 
     def _send_leader_beats(
         self,
@@ -236,15 +248,26 @@
         *,
         only: tuple[InstanceId, ...] | None = None,
     ) -> None:
+        receivers: defaultdict[DeputyShard, list[InstanceId]] = defaultdict(
+            list
+        )
+        for entry in self._candidate.entries if only is None else only:
+            shard = self._plan.shard_of(self._candidate.zone_of(entry))
+            receivers[shard].append(entry)
         beat = LeaderBeat(
             term=self._candidate.term,
             stamp=now,
             controls=self._known_controls(now),
             waiting=self._candidate.waiting,
-            deputies=self._deputies(now),
-            entries=len(self._candidate.connected_entries(now=now)),
         )
-        self._candidate.send_to_entries(beat, only=only)
+        for shard, entries in receivers.items():
+            shard_beat = replace(
+                beat,
+                deputies=shard.deputies,
+                entries=len(shard.entries),
+                zones=shard.zones,
+            )
+            self._candidate.send_to_entries(shard_beat, only=entries)
 
     def _known_controls(self, now: float) -> tuple[InstanceId, ...]:
         return (self._settings.own, *self._election.live(now=now))
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -90,10 +90,7 @@
             return
         self._election.receive_leader_beat(beat, now=now)
         if beat.term:
-            self._other_deputies = tuple(
-                entry for entry in beat.deputies if entry != self._own
-            )
-            self._mesh.add_peers(beat.deputies)
+            self._follow_plan(beat)
         self._candidate.drop_stale_reports(now=now)
 
     def receive(self, sender: InstanceId, message: Any, *, now: float) -> None:
@@ -103,6 +100,16 @@
         else:
             self._candidate.receive(sender, message, now=now)
 
+    def _follow_plan(self, beat: LeaderBeat) -> None:
+        """Take over the deputies of this entry's shard, and its zones."""
+        others = tuple(entry for entry in beat.deputies if entry != self._own)
+        for former in self._other_deputies:
+            if former not in others:
+                self._mesh.leave(former)
+        self._other_deputies = others
+        self._mesh.add_peers(others)
+        self._candidate.cover(beat.zones)
+
     def _send_deputy_beats(self, now: float) -> None:
         beat = ControlBeat(
             term=max(self._election.term, self._election.highest_term),
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-from cuminstack.core import InstanceId, JobKey, Send
+from cuminstack.core import InstanceId, JobKey, Send, ZoneName
 from cuminstack.document import Chosen, Value
 from cuminstack.fleet import (
     Answer,
@@ -17,6 +17,7 @@
     Refused,
     Taken,
     UnknownJobs,
+    endpoint_capacity,
 )
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
@@ -58,7 +59,11 @@
     ) -> None:
         self._settings = settings
         self._on_new_value = on_new_value
-        self._dispatcher_client = DispatcherClient(now=steady_now())
+        self._dispatcher_client = DispatcherClient(
+            now=steady_now(),
+            zone=ZoneName(settings.zone),
+            capacity=endpoint_capacity(settings.cores),
+        )
         self._answers: dict[JobKey, asyncio.Future[Answer]] = {}
         self._caller_counts: Counter[JobKey] = Counter()
         self._waiting: dict[str, int] = {}
--- a/src/cuminstack/roles/_ports.py
+++ b/src/cuminstack/roles/_ports.py
@@ -41,6 +41,7 @@
         tolerated_failures: Number of replicas that may fail at the same time.
         data_folder: Folder of its persistent state; None without a disk.
         order: Name of the order in which waiting jobs are scheduled.
+        cores: Processor time that it may use, in cores.
     """
 
     own: InstanceId
@@ -50,3 +51,4 @@
     tolerated_failures: int
     data_folder: Path | None
     order: str
+    cores: float = 1
