Have control instances relieve deputies as soon as they know the endpoints

Change: entries that follow a deputy don't count against a control instance that has its endpoints from disk, or has been up for one heartbeat of all endpoints.

--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -94,12 +94,19 @@
             and now - self._last_control_at > HEARTBEAT_TIMEOUT_SECONDS
         )
 
-    def tick(self, *, weight: int, now: float) -> None:
+    def tick(
+        self,
+        *,
+        weight: int,
+        now: float,
+        relieves_deputies: bool = False,
+    ) -> None:
         """Decide whether to lead.
 
         Args:
             weight: Number of instances that this one is in touch with.
             now: The present time in seconds.
+            relieves_deputies: Ignored, as this instance is a deputy itself.
         """
         may_lead = (
             self._may_continue(now) if self.term else self._may_take_over(now)
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -73,6 +73,7 @@
         self._term_began_at: float = 0
         self._candidate_since: float | None = None
         self._fenced_since: float | None = None
+        self._relieves_deputies = False
 
     @property
     def term(self) -> int:
@@ -121,13 +122,22 @@
         self._leader_reports[entry] = _LeaderReport(leader, now)
         self._highest_term = max(self._highest_term, term)
 
-    def tick(self, *, weight: int, now: float) -> None:
+    def tick(
+        self,
+        *,
+        weight: int,
+        now: float,
+        relieves_deputies: bool = False,
+    ) -> None:
         """Decide whether to lead.
 
         Args:
             weight: Number of instances that this one is in touch with.
             now: The present time in seconds.
+            relieves_deputies: Whether to lead although most entries follow
+                deputies.
         """
+        self._relieves_deputies = relieves_deputies
         rivals = self._rivals(now)
         if self._term:
             self._resolve_rivals(rivals, weight, now)
@@ -202,16 +212,23 @@
     def _most_follow_another(self, now: float) -> bool:
         """Return whether most entries in touch report another dispatcher.
 
-        Entries that report none count for this instance.
+        Entries that report none count for this instance, and so do those that
+        report a deputy if this instance relieves deputies.
         """
         leaders = [
             report.leader
             for report in self._leader_reports.values()
             if now - report.received_at < LEADER_REPORT_SECONDS
         ]
-        followers = sum(leader in {None, self._own} for leader in leaders)
+        followers = sum(not self._is_another(leader) for leader in leaders)
         return len(leaders) - followers > followers
 
+    def _is_another(self, leader: InstanceId | None) -> bool:
+        if leader is None or leader == self._own:
+            return False
+        is_deputy = leader in self._leader_reports
+        return not (is_deputy and self._relieves_deputies)
+
     def _is_first_candidate(self, now: float) -> bool:
         others = self.live(now=now)
         is_least = all(self._own < other for other in others)
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -31,6 +31,9 @@
 #: Age of the newest report, in seconds, after which an endpoint is considered
 #: lost.
 _REPORT_LIFETIME_SECONDS: Final = 20.0
+#: Seconds after a start without saved endpoints until most of them have sent a
+#: heartbeat; before that, deputies know the endpoints better.
+_FIRST_HEARTBEATS_SECONDS: Final = 1.5
 #: Seconds of contact with an entry until an instance has received a heartbeat
 #: of every endpoint that the entry's jobs may use: two of their heartbeat
 #: intervals and a margin.
@@ -91,9 +94,13 @@
         self._contact_since: dict[InstanceId, float] = {}
         self._entry_infos: dict[InstanceId, EntryInfo] = {}
         self._zones: frozenset[ZoneName] = frozenset()
+        now = steady_now()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
-            report.endpoint: (report, steady_now()) for report in reports
+            report.endpoint: (report, now) for report in reports
         }
+        self._knows_endpoints_at = now
+        if not self._reports:
+            self._knows_endpoints_at += _FIRST_HEARTBEATS_SECONDS
 
     @property
     def leads(self) -> bool:
@@ -173,7 +180,11 @@
             interval: Planned seconds since the last tick.
         """
         self._work.tick(interval, now=now)
-        self._election.tick(weight=self.weight(now=now), now=now)
+        self._election.tick(
+            weight=self.weight(now=now),
+            now=now,
+            relieves_deputies=now >= self._knows_endpoints_at,
+        )
         self.follow_election(now=now)
         if self._dispatcher is not None:
             entries = self._entry_carriers(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -123,6 +123,21 @@
             election.tick(weight=1, now=moment / 50)
         assert not election.term
 
+    # Guards against control instances that are back after they were all lost,
+    # and leave the endpoints to slower deputies for seconds.
+    def test_deputies_are_relieved_by_who_knows_the_endpoints(self) -> None:
+        election = Election(ONE, now=0)
+        for step in range(20):
+            now = step / 10
+            for name in ENTRIES:
+                election.record_leader_report(name, ENTRIES[0], now=now)
+            knows_endpoints = now > 1
+            election.tick(
+                weight=1, now=now, relieves_deputies=knows_endpoints
+            )
+            assert not election.term or knows_endpoints
+        assert election.term
+
     def test_fenced_leader_begins_later_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, ONE, now=2)
