Begin later terms at once, without an interruption of starts

And a later term voided the orders of all endpoints, though most obeyed the dispatcher. Change: control instances tell the last term that they resigned from, and a leader goes on above it; endpoints that obey get a hold with a new token and stay ready, and jobs that may have run still wait for its listing. Before: test_term_of_a_resigned_leader_is_outranked and test_later_term_interrupts_nothing fail. After: they pass.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -74,12 +74,18 @@
         self._candidate_since: float | None = None
         self._fenced_since: float | None = None
         self._relieves_deputies = False
+        self._resigned_term = 0
 
     @property
     def term(self) -> int:
         """The term in which this instance leads; 0 if it doesn't lead."""
         return self._term
 
+    @property
+    def resigned_term(self) -> int:
+        """The latest term that this instance resigned from; 0 if none."""
+        return self._resigned_term
+
     @property
     def highest_term(self) -> int:
         """The highest term that is known."""
@@ -106,9 +112,16 @@
         *,
         now: float,
     ) -> None:
-        """Record a heartbeat of another control instance."""
+        """Record a heartbeat of another control instance.
+
+        If the sender led in a later term than this one and has resigned, some
+        endpoints obey that term, and a new one begins at once.  Its sender may
+        have resigned before its first heartbeat as a leader arrived here.
+        """
         self._beats[sender] = _ReceivedBeat(beat, now)
         self._highest_term = max(self._highest_term, beat.term)
+        if self._term and beat.resigned_term >= self._term:
+            self._begin_term(now)
 
     def record_leader_report(
         self,
@@ -169,7 +182,7 @@
 
     def leave(self) -> None:
         """Resign, and never lead again."""
-        self._term = 0
+        self._resign()
         self._eligible_at = math.inf
 
     def _rivals(self, now: float) -> tuple[InstanceId, ...]:
@@ -247,5 +260,6 @@
         self._term_began_at = now
 
     def _resign(self) -> None:
+        self._resigned_term = max(self._resigned_term, self._term)
         self._term = 0
         self._candidate_since = None
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -26,6 +26,8 @@
             knows to be in force.
         controls: Control instances that the sender knows.
         leaves: Whether the sender is about to end and no longer leads.
+        resigned_term: Latest term in which the sender led and that it resigned
+            from; 0 if there is none.
     """
 
     term: int
@@ -34,6 +36,7 @@
     revision: int
     controls: tuple[InstanceId, ...]
     leaves: bool = False
+    resigned_term: int = 0
 
 
 @message('fleet.leader_beat')
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -112,13 +112,20 @@
         self._assigner.record_entry_contact(entry, stamp)
 
     def begin_term(self, term: int, *, now: float) -> Effects:
-        """Continue in a later term, with tokens above those of a rival."""
+        """Continue in a later term, with tokens above those of a rival.
+
+        Endpoints that obey this dispatcher go on taking starts, so that a short
+        partition of some endpoints doesn't interrupt all others.
+        """
         self._watch.begin_term(term)
         self._jobs.begin_term(term)
         effects: list[Effect] = []
         for endpoint in self._endpoints.values():
-            endpoint.has_joined = False
-            effects.extend(self._watch.void(endpoint, 'term', now=now))
+            endpoint.rejoin(now=now)
+            if endpoint.phase is Phase.ready:
+                effects.append(self._watch.replace_token(endpoint, now=now))
+            else:
+                effects.extend(self._watch.void(endpoint, 'term', now=now))
         return tuple(effects)
 
     def recent_outcome(self, key: JobKey) -> JobState | None:
@@ -373,7 +380,7 @@
         if endpoint.phase is not Phase.ready:
             yield ready_event(endpoint, view)
             endpoint.phase = Phase.ready
-            endpoint.has_joined = True
+        endpoint.record_listing(asked_at)
 
     def _check(self, endpoint: Endpoint, now: float) -> Iterator[Effect]:
         """Perform due actions at an endpoint, and schedule the next check."""
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -111,7 +111,8 @@
         self._free: Resources | None = None
         self.lifetime = Lifetime(report.lifetime)
         self._phase = Phase.joining
-        self.has_joined = False
+        self._joins_from: float = 0
+        self._has_joined = False
         self.token = token
         self.health = EndpointHealth(self._notify_change)
         self.runs: dict[RunKey, Run] = {}
@@ -142,6 +143,11 @@
         self._phase = phase
         self._notify_change()
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether it has listed its runs in the dispatcher's term."""
+        return self._has_joined
+
     @property
     def due_at(self) -> float:
         """Time of the next check, unless an event requests one earlier."""
@@ -190,6 +196,20 @@
         """Time by which the leases of all runs ordered so far have expired."""
         return self.lifetime.clock.latest_time_of(self.lifetime.latest_expiry)
 
+    def rejoin(self, *, now: float) -> None:
+        """Require a listing of runs that is requested from now on."""
+        self._joins_from = now
+        self._has_joined = False
+
+    def record_listing(self, asked_at: float) -> None:
+        """Record that it has listed its runs.
+
+        Args:
+            asked_at: When the listing was requested, in seconds.
+        """
+        if asked_at >= self._joins_from:
+            self._has_joined = True
+
     def request_check(self) -> None:
         """Have the next tick check the endpoint, as its state has changed."""
         self._due_at = 0
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -100,6 +100,16 @@
         if hold is not None:
             yield hold
 
+    def replace_token(self, endpoint: Endpoint, *, now: float) -> Hold:
+        """Return a hold with a new token, while the endpoint stays ready.
+
+        It voids late orders of other dispatchers.  An own start that it
+        overtakes is refused, and voided as one without an answer.
+        """
+        endpoint.fence(self.tokens.issue(), Phase.ready)
+        expiry = self._renew_lease(endpoint, now) if endpoint.runs else None
+        return self._make_hold(endpoint, now, expires_ms=expiry)
+
     def due_at(self, endpoint: Endpoint) -> float:
         """Return the time of the next action at an endpoint.
 
@@ -216,16 +226,10 @@
             # runs may rely on its expiry.
             return self._make_hold(endpoint, now, wait_ms=_HOLD_WAIT_MS)
         if endpoint.runs:
-            expiry = endpoint.lifetime.clock.expiry_after(
-                LEASE_SECONDS, now=now
-            )
-            endpoint.lifetime.latest_expiry = max(
-                endpoint.lifetime.latest_expiry, expiry
-            )
             return self._make_hold(
                 endpoint,
                 now,
-                expires_ms=expiry,
+                expires_ms=self._renew_lease(endpoint, now),
                 wait_ms=_HOLD_WAIT_MS,
             )
         unacknowledged = (
@@ -238,6 +242,13 @@
             return self._make_hold(endpoint, now)
         return None
 
+    def _renew_lease(self, endpoint: Endpoint, now: float) -> int:
+        """Return the new expiry of a lease, on the endpoint's clock in ms."""
+        lifetime = endpoint.lifetime
+        expiry = lifetime.clock.expiry_after(LEASE_SECONDS, now=now)
+        lifetime.latest_expiry = max(lifetime.latest_expiry, expiry)
+        return expiry
+
     def _make_hold(
         self,
         endpoint: Endpoint,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of the leader election, and of jobs between entry and dispatcher."""
 
+from dataclasses import replace
 from itertools import product
 from typing import Any
 
@@ -136,6 +137,18 @@
             assert not election.term or knows_endpoints
         assert election.term
 
+    # Guards against a second in which endpoints of a zone refuse all orders
+    # after its partition has healed: the zone's dispatcher resigned before its
+    # first heartbeat arrived, so the other one never knew it as a rival.
+    def test_term_of_a_resigned_leader_is_outranked(self) -> None:
+        election = _run_alone(ONE)
+        resigned = replace(_control_beat(4, leads=False), resigned_term=4)
+        election.receive_beat(TWO, resigned, now=1)
+        assert election.term == 5
+        election.receive_beat(TWO, resigned, now=1.1)
+        election.tick(weight=3, now=1.1)
+        assert election.term == 5
+
     def test_fenced_leader_begins_later_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, ONE, now=2)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -6,7 +6,7 @@
 from bench.pool import ENTRY, JobPlan, PoolWorld
 
 from cuminstack.core import EndpointId, JobKey
-from cuminstack.pool import JobState, _assignment, order_names
+from cuminstack.pool import Hold, JobState, _assignment, order_names
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
@@ -208,6 +208,43 @@
         assert len(world.spans) == 2 * len(names)
         assert all(world.took_ms(name) < 750 for name in names)
 
+    # Pattern of the load: one availability zone was cut off, its dispatcher has
+    # resigned, and the one of all others begins a later term.  Guards against
+    # a term that interrupts the starts at all endpoints.
+    def test_later_term_interrupts_nothing(self) -> None:
+        world = PoolWorld(workers=30)
+        _submit_mix(world, 40, gap=0.01)
+        world.run_for(0.5)
+        spans = len(world.spans)
+        world.perform(world.dispatcher.begin_term(9, now=world.now))
+        assert all(each.takes_starts for each in world.dispatcher.endpoints)
+        world.submit(JobPlan('new', 4, 0.1))
+        world.run_for(0.01)
+        assert len(world.spans) > spans
+        world.run_for(5)
+        world.check()
+        assert world.took_ms('new') < 200
+        # All tasks were started once: no run was lost.
+        assert len(world.spans) == len({span.run for span in world.spans})
+        assert _count_completed(world) == 41
+
+    def test_rival_is_fenced_by_a_later_term(self) -> None:
+        world = PoolWorld(workers=2)
+        rival = world.dispatcher
+        world.submit(JobPlan('a', 2, 0.3))
+        world.run_for(0.05)
+        dispatcher = world.lead(term=2)
+        world.run_for(0.1)
+        effects = dispatcher.begin_term(4, now=world.now)
+        tokens = [each.token for each in effects if isinstance(each, Hold)]
+        assert len(tokens) == 2
+        assert min(tokens) > max(each.token for each in rival.endpoints)
+        # The job waits until both endpoints have listed their runs anew.
+        assert not any(each.has_joined for each in dispatcher.endpoints)
+        world.perform(effects)
+        world.run_for(0.1)
+        assert all(each.has_joined for each in dispatcher.endpoints)
+
     def test_unclaimed_tasks_expire(self) -> None:
         world = PoolWorld(workers=1)
         world.submit(JobPlan('a', 2, 3))
