Wait less for runs of a dispatcher that has resigned

Cause: jobs that may have run wait for 1.08 s after the last word of their dispatcher, of which 0.4 s are for a silent one that still orders runs. One that resigns orders none. Change: after a resignation, 0.68 s. Before: test_runs_of_a_resigned_leader_expire_earlier fails; after: it passes.

--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -34,10 +34,13 @@
 ENTRY_LEASE_SECONDS: Final = 0.4
 #: Seconds added for stopping a run, slow clocks and network delay.
 _STOP_MARGIN_SECONDS: Final = 0.2
+#: Seconds after a dispatcher has resigned until none of the runs that it
+#: ordered is left.
+_RESIGNED_RUNS_EXPIRE_SECONDS: Final = LEASE_SECONDS + _STOP_MARGIN_SECONDS
 #: Seconds after the last message of a dispatcher until none of the runs that
 #: it ordered is left.
 _RUNS_EXPIRE_SECONDS: Final = (
-    ENTRY_LEASE_SECONDS + LEASE_SECONDS + _STOP_MARGIN_SECONDS
+    ENTRY_LEASE_SECONDS + _RESIGNED_RUNS_EXPIRE_SECONDS
 )
 #: Seconds after which a submission without a reply is sent again.  The time
 #: doubles with each attempt, as a dispatcher that is late has to read and
@@ -80,6 +83,7 @@
         self._pending: dict[JobKey, PendingJob] = {}
         self._leader: InstanceId | None = None
         self._has_resigned = False
+        self._resigned_at: float = 0
         self._term = 0
         self._leader_was_rival = False
         self._rivals: set[InstanceId] = set()
@@ -221,8 +225,10 @@
         return effects
 
     def _receive_own_leader(self, beat: LeaderBeat, now: float) -> Effects:
+        was_resigned = self._has_resigned
         self._has_resigned = not beat.term
         if self._has_resigned:
+            self._resigned_at = self._resigned_at if was_resigned else now
             return ()
         self._term = beat.term
         self._last_beat_at = now
@@ -285,6 +291,9 @@
         orders have expired.
         """
         expire_at = self._last_beat_at + _RUNS_EXPIRE_SECONDS
+        if self._has_resigned:
+            resigned_at = self._resigned_at + _RESIGNED_RUNS_EXPIRE_SECONDS
+            expire_at = min(expire_at, resigned_at)
         self._leader_was_rival = leader in self._rivals
         self._leader = leader
         self._has_resigned = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -28,6 +28,7 @@
 )
 from cuminstack.fleet._dispatcher_client import LEADERLESS_SECONDS
 from cuminstack.pool import (
+    LEASE_SECONDS,
     Dispatcher,
     JobRequest,
     JobState,
@@ -357,6 +358,18 @@
         client.receive_leader_beat(TWO, LeaderBeat(9, 6, (), {}), now=0.25)
         assert client.leader == TWO
 
+    # Guards against jobs that wait after a planned hand-over as long as after
+    # the silence of a dispatcher, which may order runs for a while.
+    def test_runs_of_a_resigned_leader_expire_earlier(self) -> None:
+        client = self._client()
+        self._submit(client)
+        client.receive_leader_beat(ONE, LeaderBeat(1, 6, (), {}), now=0.5)
+        client.receive_leader_beat(ONE, LeaderBeat(0, 6, (), {}), now=0.52)
+        client.receive_leader_beat(ONE, LeaderBeat(0, 7, (), {}), now=0.6)
+        beat = LeaderBeat(2, 5, (), {})
+        effect = _only(client.receive_leader_beat(TWO, beat, now=0.7))
+        assert LEASE_SECONDS < effect.message.held + 0.18 < 0.7
+
     def test_sent_job_past_its_deadline_may_have_run(self) -> None:
         client = self._client()
         self._submit(client)
