--- a/tests/processes/test_callers.py
+++ b/tests/processes/test_callers.py
@@ -138,7 +138,8 @@
 
     async def test_wave(self, harness: DeploymentHarness) -> None:
         jobs = [
-            Submission(key=f'wave-{number}', run_ms=(200,) * 10)
+            # Far longer than it takes to cancel them, even on a busy machine.
+            Submission(key=f'wave-{number}', run_ms=(9000,) * 10)
             for number in range(20)
         ]
         after = Submission(key='after-wave', run_ms=(5,) * 4)
