Save at once that an endpoint left or drains

Cause: a control instance saves the endpoints that it knows each 5 s. Change: a departure is saved with the next tick. Before: test_departure_is_saved_at_once in tests/test_roles.py fails: the tick after the heartbeat begins no save; after: it passes.

--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -94,6 +94,7 @@
         self._contact_since: dict[InstanceId, float] = {}
         self._entry_infos: dict[InstanceId, EntryInfo] = {}
         self._zones: frozenset[ZoneName] = frozenset()
+        self._departures = 0
         now = steady_now()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
             report.endpoint: (report, now) for report in reports
@@ -122,6 +123,11 @@
         """Number of jobs without a started task, by queue."""
         return {} if self._dispatcher is None else self._dispatcher.waiting
 
+    @property
+    def departures(self) -> int:
+        """Number of endpoints that left or began to drain since the start."""
+        return self._departures
+
     @property
     def entries(self) -> tuple[InstanceId, ...]:
         """Entries to which heartbeats are sent."""
@@ -278,13 +284,17 @@
 
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Record a heartbeat of an endpoint."""
+        known = self._reports.get(report.endpoint)
+        if report.draining and not (known and known[0].draining):
+            self._departures += 1
         self._reports[report.endpoint] = (report, now)
         if self._dispatcher is not None and self._covers(report):
             self._dispatcher.observe(report, now=now)
 
     def remove_endpoint(self, endpoint: EndpointId, *, now: float) -> None:
         """Remove an endpoint that has deregistered."""
-        self._reports.pop(endpoint, None)
+        if self._reports.pop(endpoint, None) is not None:
+            self._departures += 1
         if self._dispatcher is not None:
             self._dispatcher.remove_endpoint(endpoint, now=now)
 
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -42,7 +42,8 @@
 from cuminstack.settings import LogLevel
 
 #: Ticks between two saves of the known endpoints: five seconds, since after a
-#: restart their heartbeats supply what was not saved.
+#: restart their heartbeats supply what was not saved.  Endpoints that left or
+#: drain are saved at once, as a restarted instance would use them again.
 _ENDPOINT_SAVE_TICKS: Final = 250
 #: While this instance doesn't lead, each third heartbeat goes to deputies: two
 #: fit into the silence after which a deputy stands for election.
@@ -81,6 +82,7 @@
         self._heartbeat_buffer = HeartbeatBuffer()
         self._plan = DeputyPlan()
         self._endpoint_store = EndpointStore(settings.data_folder)
+        self._saved_departures = 0
         self._ticks = 0
         self._heartbeat_timer = HeartbeatTimer()
         self._beats = 0
@@ -213,10 +215,18 @@
             self._send_leader_beats(now)
         if self._ticks % _REPORT_FLUSH_TICKS == 0:
             self._send_to_candidates(self._heartbeat_buffer.flush())
-        if self._ticks % _ENDPOINT_SAVE_TICKS == 0:
+        if self._ticks % _ENDPOINT_SAVE_TICKS == 0 or self._has_departures:
             self._save_endpoints(now)
 
+    @property
+    def _has_departures(self) -> bool:
+        """Whether endpoints that left or drain are saved as usable ones."""
+        is_saved = self._saved_departures == self._candidate.departures
+        return not (is_saved or self._endpoint_store.is_saving)
+
     def _save_endpoints(self, now: float) -> None:
+        if not self._endpoint_store.is_saving:
+            self._saved_departures = self._candidate.departures
         self._candidate.drop_stale_reports(now=now)
         reports = self._candidate.reports
         self._heartbeat_buffer.keep_only(report.endpoint for report in reports)
--- a/src/cuminstack/roles/_restart_state.py
+++ b/src/cuminstack/roles/_restart_state.py
@@ -38,14 +38,18 @@
             self._saved_record = loaded.record
         return self._saved_record
 
+    @property
+    def is_saving(self) -> bool:
+        """Whether a record is being saved, so that no other one can be."""
+        return self._save_task is not None and not self._save_task.done()
+
     def save_in_background(self, record: bytes) -> None:
         """Start to save a record.
 
         Nothing is done if the record is already saved, or while another one
         is being saved.
         """
-        is_saving = self._save_task is not None and not self._save_task.done()
-        if self._file is None or record == self._saved_record or is_saving:
+        if self._file is None or record == self._saved_record or self.is_saving:
             return
         self._save_task = asyncio.create_task(self._save(self._file, record))
 
@@ -95,6 +99,11 @@
         except msgspec.ValidationError as error:
             return _damaged(error)
 
+    @property
+    def is_saving(self) -> bool:
+        """Whether endpoints are being saved; until then, no others can be."""
+        return self._file.is_saving
+
     def save_in_background(self, reports: Iterable[EndpointReport]) -> None:
         """Start to save the known endpoints."""
         ordered = sorted(reports, key=lambda report: report.endpoint)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import cast
 
@@ -246,6 +247,34 @@
 
         await until(is_saved, seconds=TIMEOUT_SECONDS)
 
+    # Guards against a restarted instance that starts tasks at an endpoint which
+    # had said that it drains, or had left, as it knows it from seconds before.
+    async def test_departure_is_saved_at_once(self, tmp_path: Path) -> None:
+        fleet = _Fleet(tmp_path)
+        report = fleet.worker.report()
+        fleet.control.observe(report)
+        for ticks in range(4):
+            await asyncio.sleep(0)
+            fleet.control._tick(100 + ticks / 50)
+        assert not EndpointStore(tmp_path).load()
+        fleet.control.observe(replace(report, draining=True, sequence=9))
+        fleet.control._tick(101)
+        assert fleet.control._endpoint_store.is_saving
+
+        async def is_saved() -> bool:
+            fleet.control._tick(102)
+            saved = EndpointStore(tmp_path).load()
+            return [each.draining for each in saved] == [True]
+
+        await until(is_saved, seconds=TIMEOUT_SECONDS)
+        fleet.control.endpoint_left(report.endpoint)
+
+        async def is_removed() -> bool:
+            fleet.control._tick(103)
+            return not EndpointStore(tmp_path).load()
+
+        await until(is_removed, seconds=TIMEOUT_SECONDS)
+
     @pytest.mark.parametrize('record', [b'\xff\xff', cbor2.dumps([{'a': 1}])])
     async def test_damaged_endpoints(
         self, tmp_path: Path, record: bytes
