Treat an endpoint on probation with a run as full

Cause: an endpoint on probation gets one run at a time, whatever room it has. Its room counted as room for all, so that at each event every waiting job searched the endpoints and found none. Change: such an endpoint has no room for the search.

--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -63,8 +63,6 @@
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
     if not endpoint.free.can_fit(step.needs):
         return False
-    if endpoint.health.is_on_probation and endpoint.runs:
-        return False
     if step.label and step.label not in endpoint.report.labels:
         return False
     return not step.spread or _count_step_runs(endpoint, task) < step.spread
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -136,7 +136,8 @@
 class StartCandidates:
     """Endpoints of a service that may get starts at a given time.
 
-    Quarantined endpoints are included only if there are no others.
+    Quarantined endpoints are included only if there are no others.  An endpoint
+    on probation that has a run is full, whatever room it has left.
 
     Args:
         capacity_index: Index of the endpoints.
@@ -171,7 +172,7 @@
         largest = (
             each.millicores
             for each in reversed(self._startable)
-            if self._may_start(each.endpoint)
+            if self._has_room(each.endpoint)
         )
         self._max_millicores = next(largest, -1)
 
@@ -200,7 +201,7 @@
         startable = self._startable
         first = bisect_left(startable, (millicores,))
         for each in islice(startable, first, None):
-            if self._may_start(each.endpoint):
+            if self._has_room(each.endpoint):
                 yield each.endpoint
 
     def has_any_except(self, excluded: Container[EndpointId]) -> bool:
@@ -211,6 +212,10 @@
             if self._may_start(each.endpoint)
         )
 
+    def _has_room(self, endpoint: Endpoint) -> bool:
+        is_probed = endpoint.health.is_on_probation and bool(endpoint.runs)
+        return not is_probed and self._may_start(endpoint)
+
     def _may_start(self, endpoint: Endpoint) -> bool:
         return not (
             self._has_healthy and endpoint.health.is_quarantined(now=self._now)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,5 +1,6 @@
 """Tests of the dispatcher on a simulated pool: invariants and load."""
 
+from collections import Counter
 from functools import partial
 
 import pytest
@@ -10,6 +11,7 @@
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
+from cuminstack.pool._queue import WaitingJob
 from cuminstack.pool._rooms import StartCandidates
 
 
@@ -437,6 +439,63 @@
         # Four tasks fit; all searches of a job but the last succeed.
         assert 4 <= len(searched) <= 8
 
+    # Pattern of the load: the dispatcher is late, so that all entries seem silent
+    # and no job may start. Guards against looks at all waiting jobs at each
+    # event, which kept it late.
+    def test_waiting_jobs_of_silent_entries(
+        self, world: PoolWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        looked_at: list[WaitingJob] = []
+        original = _assignment.Assigner._may_start
+
+        def may_start(
+            assigner: _assignment.Assigner,
+            waiting: WaitingJob,
+            candidates: StartCandidates,
+            now: float,
+        ) -> bool:
+            looked_at.append(waiting)
+            return original(assigner, waiting, candidates, now)
+
+        monkeypatch.setattr(_assignment.Assigner, '_may_start', may_start)
+        # The pool has room once its tasks are lost.
+        for endpoint in world.dispatcher.endpoints:
+            endpoint.clear()
+        late = world.now + 0.3
+        world.dispatcher.tick(now=late)
+        assert not looked_at
+        world.dispatcher.record_entry_contact(ENTRY, late)
+        world.dispatcher.tick(now=late)
+        assert looked_at
+
+    # Pattern of the load: some endpoints fail all that they start, and are on
+    # probation with one run and room for more, while hundreds of jobs wait.
+    # Guards against a search of all endpoints for each job at each event, which
+    # kept the dispatcher of 270 endpoints late for as long as jobs came.
+    def test_probed_endpoints_are_not_searched(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        world = PoolWorld(workers=12)
+        for worker in tuple(world.workers.values())[::3]:
+            worker.faults.fails = True
+        _submit_mix(world, 300, gap=0.005)
+        world.run_for(1.7)
+        searches = Counter[bool]()
+
+        def search(
+            candidates: StartCandidates, job: Job, task: Task
+        ) -> Endpoint | None:
+            endpoint = find_endpoint(candidates, job, task)
+            searches[endpoint is not None] += 1
+            return endpoint
+
+        assert sum(world.dispatcher.waiting.values()) > 100
+        monkeypatch.setattr(_assignment, 'find_endpoint', search)
+        world.run_for(3)
+        # Searches fail only for tasks that failed on all endpoints with room.
+        assert searches[True] > 100
+        assert searches[False] < searches[True]
+
     def test_unchanged_jobs_are_not_summarized_again(
         self, world: PoolWorld, monkeypatch: pytest.MonkeyPatch
     ) -> None:
