Renew leases in one place, and name who is due an entry's heartbeat

Found on reading the change: the expiry of a lease was computed and recorded in two places by the same lines, and who gets an entry's heartbeat took a set that stood for its opposite. Behaviour stays; the tests of the pool, the fleet and the roles pass.

--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -140,15 +140,11 @@
     ) -> StartRun:
         run = job.begin(task, endpoint.report.endpoint)
         endpoint.add(Run(run, job.steps[task.key.step].needs, sent_at=now))
-        expiry = endpoint.lifetime.clock.expiry_after(LEASE_SECONDS, now=now)
-        endpoint.lifetime.latest_expiry = max(
-            endpoint.lifetime.latest_expiry, expiry
-        )
         return StartRun(
             endpoint=endpoint.report.endpoint,
             address=endpoint.report.address,
             run=run,
             payload=job.submission.request.payload,
             token=endpoint.token,
-            expires_ms=expiry,
+            expires_ms=endpoint.lifetime.renew_lease(LEASE_SECONDS, now=now),
         )
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -85,6 +85,20 @@
         #: Latest expiry of a lease, in milliseconds of the endpoint's clock.
         self.latest_expiry = 0
 
+    def renew_lease(self, seconds: float, *, now: float) -> int:
+        """Return an expiry for the lease of all runs, and record it.
+
+        Args:
+            seconds: Time for which the lease lasts at least.
+            now: Current time in seconds.
+
+        Returns:
+            The expiry in milliseconds of the endpoint's clock.
+        """
+        expiry = self.clock.expiry_after(seconds, now=now)
+        self.latest_expiry = max(self.latest_expiry, expiry)
+        return expiry
+
 
 class Endpoint:
     """State of one endpoint at its dispatcher.
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -107,8 +107,10 @@
         overtakes is refused, and voided as one without an answer.
         """
         endpoint.fence(self.tokens.issue(), Phase.ready)
-        expiry = self._renew_lease(endpoint, now) if endpoint.runs else None
-        return self._make_hold(endpoint, now, expires_ms=expiry)
+        expires_ms = None
+        if endpoint.runs:
+            expires_ms = endpoint.lifetime.renew_lease(LEASE_SECONDS, now=now)
+        return self._make_hold(endpoint, now, expires_ms=expires_ms)
 
     def due_at(self, endpoint: Endpoint) -> float:
         """Return the time of the next action at an endpoint.
@@ -229,7 +231,9 @@
             return self._make_hold(
                 endpoint,
                 now,
-                expires_ms=self._renew_lease(endpoint, now),
+                expires_ms=endpoint.lifetime.renew_lease(
+                    LEASE_SECONDS, now=now
+                ),
                 wait_ms=_HOLD_WAIT_MS,
             )
         unacknowledged = (
@@ -242,13 +246,6 @@
             return self._make_hold(endpoint, now)
         return None
 
-    def _renew_lease(self, endpoint: Endpoint, now: float) -> int:
-        """Return the new expiry of a lease, on the endpoint's clock in ms."""
-        lifetime = endpoint.lifetime
-        expiry = lifetime.clock.expiry_after(LEASE_SECONDS, now=now)
-        lifetime.latest_expiry = max(lifetime.latest_expiry, expiry)
-        return expiry
-
     def _make_hold(
         self,
         endpoint: Endpoint,
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -200,20 +200,26 @@
         return TICKS_PER_HEARTBEAT - self._ticks % TICKS_PER_HEARTBEAT
 
     def _send_beats(self) -> None:
-        # A restarted control instance has to learn of this entry.  Deputies and
-        # all control instances have to know when there is no dispatcher.
-        receivers = self._mesh.peers
-        if self._dispatcher_client.has_leader(now=steady_now()):
-            is_due = self._ticks % _ALL_CONTROLS_BEAT_TICKS == 0
-            deputies = self._deputy.other_deputies if is_due else receivers
-            receivers = tuple(
-                name for name in receivers if name not in deputies
-            )
-        for receiver in receivers:
+        for receiver in self._beat_receivers():
             self._send_beat(receiver)
         if self._deputy.leads:
             self._send_beat(self._settings.own)
 
+    def _beat_receivers(self) -> tuple[InstanceId, ...]:
+        """Return the instances that are due a heartbeat.
+
+        The dispatcher gets replies to its own heartbeats instead.  A restarted
+        control instance has to learn of this entry, and deputies, too, have to
+        know when there is no dispatcher.
+        """
+        peers = self._mesh.peers
+        if not self._dispatcher_client.has_leader(now=steady_now()):
+            return peers
+        if self._ticks % _ALL_CONTROLS_BEAT_TICKS:
+            return ()
+        deputies = self._deputy.other_deputies
+        return tuple(name for name in peers if name not in deputies)
+
     def _send_beat(self, control: InstanceId) -> None:
         beat = self._dispatcher_client.make_beat(
             control,
