--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -284,6 +284,34 @@
         assert begun == 2
 
 
+class _QuietWorld(PoolWorld):
+    """A pool whose endpoints may stop to send heartbeats."""
+
+    is_quiet = False
+
+    def _report(self) -> None:
+        if not self.is_quiet:
+            super()._report()
+
+
+class TestSilentReports:
+    """Endpoints that answer holds, while none of their heartbeats arrives.
+
+    Guards against running tasks that are given up, or started again elsewhere,
+    because heartbeats are late or lost on their way.
+    """
+
+    def test_running_tasks_go_on(self) -> None:
+        world = _QuietWorld()
+        world.submit(JobPlan('a', 6, 30, patience=60))
+        world.run_for(1)
+        world.is_quiet = True
+        world.run_for(31)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+        assert len(world.spans) == 6
+
+
 class TestGreyFailures:
     """Grey failures: endpoints that answer but fail, hang or are slow."""
 
