--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,14 @@
-"""Workers restart under their ids behind a cut; does a task run twice at once?
+"""The dispatcher stands still for a while; does a task run twice at once?
 
-With TROUBLE=0 no worker is cut off or restarted.
+Clients send again what got no clear answer.  With TROUBLE=0 no process is
+paused.
 """
 
 import asyncio
 import os
 import random
+import secrets
+import signal
 import sys
 from pathlib import Path
 
@@ -15,45 +18,53 @@
 from standins.worker import Worker, concurrent_runs
 
 FOLDER = Path(__file__).resolve().parent
-WORKERS = 24
-#: Share of the workers that are cut off at a time, as in the site file.
-CUT_SHARE = 0.17
-CUT_SECONDS = 1.4
+#: Time for which the process stands still; the site file has 4 s.
+PAUSE_SECONDS = (0.5, 0.6, 0.8, 1.0, 1.5, 2.0)
 ROUNDS = 8
-ROUND_SECONDS = 3.0
-#: Time from a wide job until the cut.
-CUT_AFTER_SECONDS = 1.2
-TASK_SECONDS = 0.9
-STEP = {'count': 32, 'cpu': 6800, 'memMb': 64, 'estRuntimeMs': 900}
-
-
-async def cut_and_restart(worker):
-    """Cut a worker off; it crashes behind the cut and starts again at once."""
-    crash_after = random.uniform(0, CUT_SECONDS - 0.1)
-    worker.cut()
-    await asyncio.sleep(crash_after)
-    await worker.crash()
-    await worker.start()
-    await asyncio.sleep(CUT_SECONDS - crash_after)
-    worker.heal()
-
-
-async def play_rounds(client, deployment, workers, *, trouble):
-    """Send a wide job in each round, and cut workers off between them."""
+SECONDS_BETWEEN = 5
+JOBS_PER_SECOND = 4
+PATIENCE_SECONDS = 9
+#: The longest task of a cooking plan in the site file takes 3.6 s.
+TASK_SECONDS = 2.5
+#: From the settings: `retransmitMs`.
+RESEND_SECONDS = 1.3
+FINAL_STATUSES = (200, 429, 503, 404)
+
+
+async def submit(client, deployment):
+    """Submit a job, and send it again after no clear answer."""
+    step = {'count': 4, 'cpu': 3000, 'memMb': 64, 'estRuntimeMs': 2500}
+    key = secrets.token_hex(8)
+    for _ in range(3):
+        entry = random.choice(deployment.entries)
+        status, _ = await client.submit(
+            entry, [step], key=key, patience=PATIENCE_SECONDS
+        )
+        if status in FINAL_STATUSES:
+            return
+        await asyncio.sleep(RESEND_SECONDS)
+
+
+async def send_traffic(client, deployment, stop):
+    """Submit jobs until `stop` is set."""
     jobs = []
-    for number in range(ROUNDS):
-        entry = deployment.entries[number % len(deployment.entries)]
-        sent = client.submit(entry, [STEP], patience=3)
-        jobs.append(asyncio.create_task(sent))
-        ends = asyncio.create_task(asyncio.sleep(ROUND_SECONDS))
-        await asyncio.sleep(CUT_AFTER_SECONDS)
-        if trouble:
-            chosen = random.sample(workers, int(CUT_SHARE * len(workers)))
-            await asyncio.gather(*map(cut_and_restart, chosen))
-        await ends
+    while not stop.is_set():
+        jobs.append(asyncio.create_task(submit(client, deployment)))
+        await asyncio.sleep(random.expovariate(JOBS_PER_SECOND))
     await asyncio.gather(*jobs)
 
 
+async def pause_dispatcher(http, record, deployment):
+    """Stop the process that dispatches, and continue it after a while."""
+    machine = await deployment.find_dispatcher(http)
+    seconds = random.choice(PAUSE_SECONDS)
+    record.add('process_stopped', machine=machine.name, seconds=seconds)
+    machine.signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    machine.signal(signal.SIGCONT)
+    record.add('process_continued', machine=machine.name)
+
+
 async def play(record, deployment, *, trouble):
     """Play the case; return whether the rule held."""
     workers = [
@@ -67,7 +78,7 @@
             cpu=16000,
             controls=[each.address('control') for each in deployment.controls],
         )
-        for number in range(WORKERS)
+        for number in range(12)
     ]
     for worker in workers:
         worker.work_seconds = lambda spec: TASK_SECONDS
@@ -82,7 +93,16 @@
             if not await deployment.wait_until_ready(http):
                 return None
             await asyncio.sleep(3)
-            await play_rounds(client, deployment, workers, trouble=trouble)
+            stop = asyncio.Event()
+            traffic = asyncio.create_task(
+                send_traffic(client, deployment, stop)
+            )
+            for _ in range(ROUNDS):
+                await asyncio.sleep(SECONDS_BETWEEN)
+                if trouble:
+                    await pause_dispatcher(http, record, deployment)
+            stop.set()
+            await traffic
             completed = sum('completed' in text for _, _, text in client.answers)
             record.add('completed', jobs=completed, sent=len(client.answers))
             pairs = concurrent_runs(workers)
@@ -92,9 +112,9 @@
                     task=first.task,
                     first=f'{first.worker.name}#{first.number}',
                     second=f'{second.worker.name}#{second.number}',
-                    first_began=first.began_at,
-                    first_ended=first.ended_at,
-                    second_began=second.began_at,
+                    first_began=round(first.began_at, 3),
+                    first_ended=round(first.ended_at or 0, 3),
+                    second_began=round(second.began_at, 3),
                 )
             if completed * 2 < len(client.answers):
                 return None
@@ -107,7 +127,7 @@
 def main():
     """Run the case, and exit with its result."""
     record = Record(FOLDER / 'record.txt')
-    deployment = Deployment(record, entries=2)
+    deployment = Deployment(record, entries=8)
     keep = os.environ.get('KEEP_LOGS')
     try:
         held = asyncio.run(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,39 +1,57 @@
-"""All processes are killed; is traffic served `recoveryS` after they are back?
+"""Workers restart under their ids behind a cut; does a task run twice at once?
 
-With TROUBLE=0 nothing is killed.
+With TROUBLE=0 no worker is cut off or restarted.
 """
 
 import asyncio
 import os
+import random
 import sys
 from pathlib import Path
 
 import aiohttp
 from standins.callers import SERVICE, Client, Operator
 from standins.deployment import Deployment, Record
-from standins.worker import Worker
+from standins.worker import Worker, concurrent_runs
 
 FOLDER = Path(__file__).resolve().parent
-#: From the settings of the deployment.
-RECOVERY_SECONDS = 12
-DOWN_SECONDS = 1
-TRAFFIC_SECONDS = 8
-JOBS_PER_SECOND = 5
-STEPS = [{'count': 2, 'cpu': 6800, 'memMb': 64, 'estRuntimeMs': 200}]
+WORKERS = 24
+#: Share of the workers that are cut off at a time, as in the site file.
+CUT_SHARE = 0.17
+CUT_SECONDS = 1.4
+ROUNDS = 8
+ROUND_SECONDS = 3.0
+#: Time from a wide job until the cut.
+CUT_AFTER_SECONDS = 1.2
+TASK_SECONDS = 0.9
+STEP = {'count': 32, 'cpu': 6800, 'memMb': 64, 'estRuntimeMs': 900}
 
 
-async def send_traffic(client, deployment, seconds):
-    """Send jobs to the entries in turn; return how many were served."""
+async def cut_and_restart(worker):
+    """Cut a worker off; it crashes behind the cut and starts again at once."""
+    crash_after = random.uniform(0, CUT_SECONDS - 0.1)
+    worker.cut()
+    await asyncio.sleep(crash_after)
+    await worker.crash()
+    await worker.start()
+    await asyncio.sleep(CUT_SECONDS - crash_after)
+    worker.heal()
+
+
+async def play_rounds(client, deployment, workers, *, trouble):
+    """Send a wide job in each round, and cut workers off between them."""
     jobs = []
-    for number in range(int(seconds * JOBS_PER_SECOND)):
+    for number in range(ROUNDS):
         entry = deployment.entries[number % len(deployment.entries)]
-        jobs.append(asyncio.create_task(client.submit(entry, STEPS)))
-        await asyncio.sleep(1 / JOBS_PER_SECOND)
-    answers = await asyncio.gather(*jobs)
-    served = sum(
-        status == 200 and 'completed' in body for status, body in answers
-    )
-    return served, len(answers)
+        sent = client.submit(entry, [STEP], patience=3)
+        jobs.append(asyncio.create_task(sent))
+        ends = asyncio.create_task(asyncio.sleep(ROUND_SECONDS))
+        await asyncio.sleep(CUT_AFTER_SECONDS)
+        if trouble:
+            chosen = random.sample(workers, int(CUT_SHARE * len(workers)))
+            await asyncio.gather(*map(cut_and_restart, chosen))
+        await ends
+    await asyncio.gather(*jobs)
 
 
 async def play(record, deployment, *, trouble):
@@ -49,8 +67,10 @@
             cpu=16000,
             controls=[each.address('control') for each in deployment.controls],
         )
-        for number in range(6)
+        for number in range(WORKERS)
     ]
+    for worker in workers:
+        worker.work_seconds = lambda spec: TASK_SECONDS
     async with aiohttp.ClientSession() as http:
         operator = Operator(http, record, deployment)
         client = Client(http, record)
@@ -61,34 +81,24 @@
             await operator.submit(1)
             if not await deployment.wait_until_ready(http):
                 return None
-            await operator.submit(2)
-            await operator.read()
-            before, sent = await send_traffic(client, deployment, 4)
-            record.add('served_before', served=before, sent=sent)
-            if before * 4 < sent:
-                return None
-            await operator.submit(3)
-            if trouble:
-                deployment.kill_all()
-                await asyncio.sleep(DOWN_SECONDS)
-                deployment.start_all(first_start=False)
-            # Traffic goes on, but counts only once the time is over.
-            await send_traffic(client, deployment, RECOVERY_SECONDS)
-            after, sent = await send_traffic(
-                client, deployment, TRAFFIC_SECONDS
-            )
-            record.add('served_after', served=after, sent=sent)
-            # The operator reads back at the end of the day.
-            version = await operator.read()
             await asyncio.sleep(3)
-            later, later_sent = await send_traffic(client, deployment, 4)
-            record.add(
-                'served_after_the_read',
-                version=version,
-                served=later,
-                sent=later_sent,
-            )
-            return after * 4 >= sent
+            await play_rounds(client, deployment, workers, trouble=trouble)
+            completed = sum('completed' in text for _, _, text in client.answers)
+            record.add('completed', jobs=completed, sent=len(client.answers))
+            pairs = concurrent_runs(workers)
+            for first, second in pairs:
+                record.add(
+                    'ran_twice_at_once',
+                    task=first.task,
+                    first=f'{first.worker.name}#{first.number}',
+                    second=f'{second.worker.name}#{second.number}',
+                    first_began=first.began_at,
+                    first_ended=first.ended_at,
+                    second_began=second.began_at,
+                )
+            if completed * 2 < len(client.answers):
+                return None
+            return not pairs
         finally:
             for worker in workers:
                 await worker.crash()
@@ -97,7 +107,7 @@
 def main():
     """Run the case, and exit with its result."""
     record = Record(FOLDER / 'record.txt')
-    deployment = Deployment(record, entries=3)
+    deployment = Deployment(record, entries=2)
     keep = os.environ.get('KEEP_LOGS')
     try:
         held = asyncio.run(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,122 +1,103 @@
-"""A control instance with a faulty disk is killed; is a later change kept?
+"""All processes are killed; is traffic served `recoveryS` after they are back?
 
-The disk of one control instance refuses writes while the operator changes the
-desired state there.  The process is killed, the disk works again, and the
-operator sends the next change to it as it returns.  Later reads at all control
-instances have to show what was acknowledged.  With TROUBLE=0 the disk works
-and no process is killed.
+With TROUBLE=0 nothing is killed.
 """
 
 import asyncio
 import os
-import random
-import signal
 import sys
 from pathlib import Path
 
 import aiohttp
-from standins.callers import Operator
+from standins.callers import SERVICE, Client, Operator
 from standins.deployment import Deployment, Record
+from standins.worker import Worker
 
 FOLDER = Path(__file__).resolve().parent
-#: From the settings of the deployment: `configApplyMs`.
-APPLY_SECONDS = 2.0
-ROUNDS = 24
-#: When the next change is sent, after the restarted process listens.
-SENT_AFTER_SECONDS = (0.02, 0.25)
-
-
-class FaultyDisk:
-    """Makes a control instance's disk refuse to write the desired state."""
-
-    def __init__(self, machine):
-        # New content is written to this file, so a folder in its place makes
-        # each write fail, as on a full disk.
-        self._path = machine.data / 'desired-state.new'
-
-    def break_down(self):
-        """Refuse writes from now on."""
-        self._path.mkdir()
-
-    def repair(self):
-        """Take writes again."""
-        self._path.rmdir()
-
-
-async def play_round(operator, record, deployment, version, *, trouble):
-    """Change the desired state twice; return what a later read broke."""
-    control = deployment.controls[version // 2 % 3]
-    disk = FaultyDisk(control)
-    if trouble:
-        disk.break_down()
-        record.add('disk_refuses_writes', machine=control.name)
-    first = await operator.submit_at(control, version)
-    newest = version if first else 0
-    if trouble:
-        await asyncio.sleep(0.1)
-        control.signal(signal.SIGKILL)
-        control.process.wait()
-        record.add('process_killed', machine=control.name)
-        disk.repair()
-        control.start(first_start=False)
-        await deployment.wait_until_listening(control)
-        await asyncio.sleep(random.uniform(*SENT_AFTER_SECONDS))
-    if await operator.submit_at(control, version + 1, seconds=5):
-        newest = version + 1
-    acknowledged_at = record.now()
-    await asyncio.sleep(APPLY_SECONDS + 0.2)
-    broken = []
-    for machine in deployment.controls:
-        found = await operator.read_at(machine)
-        record.add(
-            'read_back',
-            machine=machine.name,
-            acknowledged=newest,
-            seconds_after=round(record.now() - acknowledged_at, 2),
-            found=found,
-        )
-        if found and found < newest:
-            broken.append((machine.name, newest, found))
-    return broken
+#: From the settings of the deployment.
+RECOVERY_SECONDS = 12
+DOWN_SECONDS = 1
+TRAFFIC_SECONDS = 8
+JOBS_PER_SECOND = 5
+STEPS = [{'count': 2, 'cpu': 6800, 'memMb': 64, 'estRuntimeMs': 200}]
+
+
+async def send_traffic(client, deployment, seconds):
+    """Send jobs to the entries in turn; return how many were served."""
+    jobs = []
+    for number in range(int(seconds * JOBS_PER_SECOND)):
+        entry = deployment.entries[number % len(deployment.entries)]
+        jobs.append(asyncio.create_task(client.submit(entry, STEPS)))
+        await asyncio.sleep(1 / JOBS_PER_SECOND)
+    answers = await asyncio.gather(*jobs)
+    served = sum(
+        status == 200 and 'completed' in body for status, body in answers
+    )
+    return served, len(answers)
 
 
 async def play(record, deployment, *, trouble):
     """Play the case; return whether the rule held."""
+    workers = [
+        Worker(
+            f'i-{number:08x}',
+            record=record,
+            ip=f'{deployment.network}.{200 + number}',
+            port=deployment.ports['front'],
+            service=SERVICE,
+            zone=f'zone-{1 + number % 3}',
+            cpu=16000,
+            controls=[each.address('control') for each in deployment.controls],
+        )
+        for number in range(6)
+    ]
     async with aiohttp.ClientSession() as http:
         operator = Operator(http, record, deployment)
+        client = Client(http, record)
         deployment.start_all(first_start=True)
-        await operator.submit(1)
-        if not await deployment.wait_until_ready(http):
-            return None
-        await asyncio.sleep(3)
-        broken = []
-        for number in range(ROUNDS):
-            broken.extend(
-                await play_round(
-                    operator,
-                    record,
-                    deployment,
-                    2 + 2 * number,
-                    trouble=trouble,
-                )
+        for worker in workers:
+            await worker.start()
+        try:
+            await operator.submit(1)
+            if not await deployment.wait_until_ready(http):
+                return None
+            await operator.submit(2)
+            await operator.read()
+            before, sent = await send_traffic(client, deployment, 4)
+            record.add('served_before', served=before, sent=sent)
+            if before * 4 < sent:
+                return None
+            await operator.submit(3)
+            if trouble:
+                deployment.kill_all()
+                await asyncio.sleep(DOWN_SECONDS)
+                deployment.start_all(first_start=False)
+            # Traffic goes on, but counts only once the time is over.
+            await send_traffic(client, deployment, RECOVERY_SECONDS)
+            after, sent = await send_traffic(
+                client, deployment, TRAFFIC_SECONDS
             )
-            if broken:
-                break
-            await asyncio.sleep(0.5)
-        for machine, newest, found in broken:
+            record.add('served_after', served=after, sent=sent)
+            # The operator reads back at the end of the day.
+            version = await operator.read()
+            await asyncio.sleep(3)
+            later, later_sent = await send_traffic(client, deployment, 4)
             record.add(
-                'older_version_read',
-                machine=machine,
-                acknowledged=newest,
-                found=found,
+                'served_after_the_read',
+                version=version,
+                served=later,
+                sent=later_sent,
             )
-        return not broken
+            return after * 4 >= sent
+        finally:
+            for worker in workers:
+                await worker.crash()
 
 
 def main():
     """Run the case, and exit with its result."""
     record = Record(FOLDER / 'record.txt')
-    deployment = Deployment(record, entries=1)
+    deployment = Deployment(record, entries=3)
     keep = os.environ.get('KEEP_LOGS')
     try:
         held = asyncio.run(
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -43,6 +43,8 @@
 status_s = 120
 retransmitMs = 1300
 """
+#: Metrics port of control instances in the deploy file.
+METRICS_PORT = 8192
 #: Variables that a process of the platform receives from its caller.
 PASSED_VARIABLES = ('PATH', 'HOME', 'LANG')
 
@@ -211,6 +213,20 @@
                 await asyncio.sleep(0.1)
         return True
 
+    async def find_dispatcher(self, http):
+        """Return the control instance that dispatches, by its metrics."""
+        while True:
+            for machine in self.controls:
+                url = f'http://{machine.ip}:{METRICS_PORT}/metrics'
+                async with http.get(url) as answer:
+                    text = await answer.text()
+                for line in text.splitlines():
+                    name, _, count = line.rpartition(' ')
+                    is_term = name.startswith('cuminstack_dispatcher_term')
+                    if is_term and float(count) > 0:
+                        return machine
+            await asyncio.sleep(0.1)
+
     async def wait_until_listening(self, machine):
         """Wait until a control instance accepts channels."""
         while True:
