--- a/review/standins/deployment.py
+++ b/review/1/standins/deployment.py
@@ -18,7 +18,7 @@
 
 import aiohttp
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 BOUNDS = """
 [bounds]
 seedLagS = 3
