Drop the jobs of entries that follow another dispatcher

Cause: an entry answers the heartbeats of any dispatcher, and its stamp counted as contact also where it follows another one (jobs is None). The stamp renewed the lease of jobs that had been handed over and let their tasks start. It also added to the weight in the election, so that the woken dispatcher outranked its successor, whose last heartbeat read was from before the entries followed it.

Change: an entry's heartbeat without a list of jobs drops its jobs and ends its lease here; a leader that most entries have left resigns before it compares weights. A dispatcher can no longer take contact with an entry for its consent, however long it stood still.

Both tests failed before: test_entry_of_another_has_no_jobs_here: has_active_job test_paused_leader_without_entries_resigns: term is 3

--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -104,7 +104,8 @@
         """Decide whether to lead.
 
         Args:
-            weight: Number of instances that this one is in touch with.
+            weight: Number of live control instances and of entries that
+                follow this one.
             now: The present time in seconds.
             relieves_deputies: Ignored, as this instance is a deputy itself.
         """
--- a/src/cuminstack/fleet/_dispatcher_service.py
+++ b/src/cuminstack/fleet/_dispatcher_service.py
@@ -34,10 +34,10 @@
 class DispatcherService:
     """Connects the dispatcher with the entries whose jobs it runs.
 
-    Jobs are kept only while their entry holds a lease and lists them in its
-    heartbeats.  A lease begins at the latest of this instance's stamps that
-    the entry returned, so a heartbeat that was delayed in the network doesn't
-    renew it.
+    Jobs are kept only while their entry follows this dispatcher, holds a lease
+    and lists them in its heartbeats.  A lease begins at the latest of this
+    instance's stamps that the entry returned, so a heartbeat that was delayed
+    in the network doesn't renew it.
 
     Args:
         dispatcher: Decides which task runs at which endpoint.
@@ -55,7 +55,7 @@
         return self._dispatcher
 
     def leased_entries(self, *, now: float) -> tuple[InstanceId, ...]:
-        """Return the entries whose leases have not expired."""
+        """Return the entries that follow this dispatcher and hold a lease."""
         return tuple(name for name, end in self._leases.items() if now < end)
 
     def observe(self, report: EndpointReport, *, now: float) -> Effects:
@@ -130,11 +130,12 @@
         """Handle a heartbeat of an entry.
 
         Renew its lease, stop jobs that it doesn't list, and report listed
-        jobs that have ended or are unknown here.
+        jobs that have ended or are unknown here.  An entry that follows
+        another dispatcher has handed all its jobs over.
         """
-        self._renew_lease(entry, beat.stamp)
         if beat.jobs is None:
-            return ()
+            return tuple(self._release(entry, now))
+        self._renew_lease(entry, beat.stamp)
         return (
             *self._drop_unlisted(entry, frozenset(beat.jobs), now),
             *self._report_missing(entry, beat.jobs),
@@ -152,9 +153,7 @@
         self._last_tick_at = now
         for entry, end in tuple(self._leases.items()):
             if expired_by >= end:
-                effects.extend(self._drop_unlisted(entry, frozenset(), now))
-                self._jobs.pop(entry, None)
-                self._leases.pop(entry)
+                effects.extend(self._release(entry, now))
         return tuple(effects)
 
     def translate_effects(
@@ -189,6 +188,12 @@
         self._leases[entry] = max(end, self._leases.get(entry, 0))
         self._dispatcher.record_entry_contact(entry, stamp)
 
+    def _release(self, entry: InstanceId, now: float) -> Iterator[Effect]:
+        """Stop all jobs of an entry, and end its lease."""
+        yield from self._drop_unlisted(entry, frozenset(), now)
+        self._jobs.pop(entry, None)
+        self._leases.pop(entry, None)
+
     def _forget(self, entry: InstanceId, key: JobKey) -> None:
         self._jobs.get(entry, set()).discard(key)
 
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -3,7 +3,8 @@
 The election needs no quorum: endpoints obey the highest fencing token, and a
 later term has higher tokens.  Each side of a network partition therefore has
 a dispatcher of its own.  When the partition heals, the dispatcher that is in
-touch with more instances continues and the other one resigns.
+touch with more control instances and followed by more entries continues and
+the other one resigns.
 
 Control instances that are partitioned from one another may still be in touch
 with the same entries.  The election therefore also takes into account which
@@ -145,7 +146,8 @@
         """Decide whether to lead.
 
         Args:
-            weight: Number of instances that this one is in touch with.
+            weight: Number of live control instances and of entries that
+                follow this one.
             now: The present time in seconds.
             relieves_deputies: Whether to lead although most entries follow
                 deputies.
@@ -199,10 +201,15 @@
     ) -> None:
         """Resign in favour of a better leader, or outrank a worse one.
 
-        The leader in touch with more instances is the better one; the name
-        decides between equals.  A leader also resigns if most entries follow
-        another dispatcher, once its term is no longer new.
+        A leader resigns if most entries follow another dispatcher, once its
+        term is no longer new; the rival's heartbeat may be older than that.
+        Otherwise the leader with more weight is the better one, and the name
+        decides between equals.
         """
+        is_new = now - self._term_began_at < _NEW_TERM_SECONDS
+        if not is_new and self._most_follow_another(now):
+            self._resign()
+            return
         for rival in rivals:
             beat = self._beats[rival].beat
             if (beat.weight, rival) > (weight, self._own):
@@ -210,9 +217,6 @@
                 return
             if beat.term >= self._term:
                 self._begin_term(now)
-        is_new = now - self._term_began_at < _NEW_TERM_SECONDS
-        if not is_new and self._most_follow_another(now):
-            self._resign()
 
     def _has_followers(self, now: float) -> bool:
         """Return whether an entry in touch reports this dispatcher."""
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -21,7 +21,8 @@
     Args:
         term: Highest term that the sender knows.
         leads: Whether the sender dispatches in that term.
-        weight: Number of instances that the sender is in touch with.
+        weight: Number of control instances that the sender is in touch with,
+            and of entries that follow it.
         revision: Number that grows with each desired state that the sender
             knows to be in force.
         controls: Control instances that the sender knows.
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -172,7 +172,7 @@
         return now - self._contact_since.get(entry, now)
 
     def weight(self, *, now: float) -> int:
-        """Return the number of instances that this one is in contact with."""
+        """Return the number of live control instances and of followers."""
         entries = 0
         if self._dispatcher is not None:
             entries = len(self._dispatcher.service.leased_entries(now=now))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -117,6 +117,21 @@
         election.tick(weight=3, now=1)
         assert election.term == 6
 
+    # Guards against a dispatcher that was paused and outranks its successor,
+    # as the heartbeats that came meanwhile are from before entries followed it.
+    def test_paused_leader_without_entries_resigns(self) -> None:
+        election = _run_alone(ONE, seconds=3)
+        term = election.term
+        election.receive_beat(
+            TWO, _control_beat(term + 1, leads=True, weight=1), now=3.8
+        )
+        for entry in ('e1', 'e2'):
+            election.record_leader_report(
+                InstanceId(entry), TWO, term=term + 1, now=3.81
+            )
+        election.tick(weight=2, now=3.82)
+        assert not election.term
+
     def test_leader_that_entries_report_is_kept(self) -> None:
         election = Election(ONE, now=0)
         for moment in range(100):
@@ -517,6 +532,23 @@
             beat = EntryBeat(late - 0.01, 1, ONE, (KEY,))
             service.receive_beat(ENTRY, beat, now=late)
 
+    # Guards against tasks that run twice: a dispatcher was paused, its entries
+    # followed its successor, and then answered its first heartbeat.
+    def test_entry_of_another_has_no_jobs_here(self) -> None:
+        service = self._service()
+        self._submit(service, resumed=True)
+        service.tick(now=11)
+        service.receive_beat(ENTRY, EntryBeat(11, 1, TWO, None), now=11.01)
+        assert not service.dispatcher.has_active_job(KEY)
+        assert not service.leased_entries(now=11.02)
+
+    def test_returned_job_is_taken_again(self) -> None:
+        service = self._service()
+        self._submit(service, resumed=True)
+        service.receive_beat(ENTRY, EntryBeat(10.1, 1, TWO, None), now=10.1)
+        send = _only(self._submit(service, resumed=True))
+        assert send == Send(ENTRY, Taken(KEY))
+
     def test_silent_entry_loses_its_jobs(self) -> None:
         service = self._service()
         self._submit(service, resumed=True)
