List what runs at an endpoint before a later term starts tasks there

Cause: a dispatcher that began a later term kept its endpoints ready, but the rival that it outranks may have started tasks on any of them.

Evidence: tests/test_pool.py::test_later_term_starts_after_listings, two dispatchers in simulated time, failed before: "AssertionError: w0" from the check that no endpoint is overfilled.

Change: in a later term an endpoint that answers is asked for its runs by a hold with a new token, over an open connection, and takes starts when it has answered.

test_later_term_interrupts_nothing asserted that all endpoints take starts in the same instant, which is the fault. It still asserts that a job starts within 10 ms of the new term, that no run is lost or repeated and that no endpoint is overfilled.

--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -117,8 +117,8 @@
     def begin_term(self, term: int, *, now: float) -> Effects:
         """Continue in a later term, with tokens above those of a rival.
 
-        Endpoints that obey this dispatcher go on taking starts, so that a short
-        partition of some endpoints doesn't interrupt all others.
+        Each endpoint gets starts again once it has listed its runs, as the
+        rival may have started some there.
         """
         self._watch.begin_term(term)
         self._jobs.begin_term(term)
@@ -126,7 +126,7 @@
         for endpoint in self._endpoints.values():
             endpoint.rejoin(now=now)
             if endpoint.phase is Phase.ready:
-                effects.append(self._watch.replace_token(endpoint, now=now))
+                effects.append(self._watch.request_listing(endpoint, now=now))
             else:
                 effects.extend(self._watch.void(endpoint, 'term', now=now))
         return tuple(effects)
--- a/src/cuminstack/pool/_watch.py
+++ b/src/cuminstack/pool/_watch.py
@@ -100,17 +100,13 @@
         if hold is not None:
             yield hold
 
-    def replace_token(self, endpoint: Endpoint, *, now: float) -> Hold:
-        """Return a hold with a new token, while the endpoint stays ready.
+    def request_listing(self, endpoint: Endpoint, *, now: float) -> Hold:
+        """Return a hold with a new token, which voids all earlier orders.
 
-        It voids late orders of other dispatchers.  An own start that it
-        overtakes is refused, and voided as one without an answer.
+        Unlike `void`, it needs no new connection, as no answer is overdue.
         """
-        endpoint.fence(self.tokens.issue(), Phase.ready)
-        expires_ms = None
-        if endpoint.runs:
-            expires_ms = endpoint.lifetime.renew_lease(LEASE_SECONDS, now=now)
-        return self._make_hold(endpoint, now, expires_ms=expires_ms)
+        endpoint.fence(self.tokens.issue(), Phase.voiding)
+        return self._make_hold(endpoint, now)
 
     def due_at(self, endpoint: Endpoint) -> float:
         """Return the time of the next action at an endpoint.
