Ask a restarted endpoint for its runs before any counts as lost

Cause: an order names an endpoint, not its lifetime, so the new lifetime obeys starts that were sent before the restart was known. The listing or heartbeat that shows the restart then counted all known runs as lost, among them those that had just begun.

Change: the endpoint gets a new token and lists its runs, as after an order without an answer. The token voids what is still on its way, so what isn't listed can be started anew. Without an answer, the runs count until the longest delivery and the longest lease have passed, as their expiries were computed on the clock of another lifetime.

--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -88,10 +88,11 @@
         self.overfull: list[float] = []
         self.lease = 0
         self.sequence = 0
+        self._clock_zero: float = 0
         self._ends = count(1)
 
     def clock(self, now: float) -> int:
-        return int(now * 1000 * self.rate)
+        return int((now - self._clock_zero) * 1000 * self.rate)
 
     def report(self) -> EndpointReport:
         self.sequence += 1
@@ -113,6 +114,9 @@
         self.ends.clear()
         self.numbers.clear()
         self.sequence = 0
+        self.lease = 0
+        self._clock_zero = now
+        self._ends = count(1)
 
     def advance(self, now: float) -> None:
         """End what is due."""
--- a/src/cuminstack/pool/_clock.py
+++ b/src/cuminstack/pool/_clock.py
@@ -26,6 +26,18 @@
         """Whether any reading has been recorded."""
         return self._max_offset_ms is not None
 
+    def has_restarted(self, clock_ms: int, *, asked_at: float) -> bool:
+        """Return whether a reading is from another lifetime of the endpoint.
+
+        Args:
+            clock_ms: Reading of the endpoint's clock in milliseconds.
+            asked_at: Local time in seconds at which the order was sent.
+
+        Returns:
+            Whether the clock ran backwards; False if that can't be told.
+        """
+        return asked_at >= self._read_at and clock_ms < self._reading_ms
+
     def read(self, clock_ms: int, *, asked_at: float, now: float) -> None:
         """Record a reading from an answer that arrived now.
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -232,9 +232,12 @@
         run = None if endpoint is None else endpoint.runs.get(order.run)
         if endpoint is None or run is None:
             return ()
-        endpoint.lifetime.clock.read(clock_ms, asked_at=asked_at, now=now)
         if run.confirmed_at is None:
             run.confirmed_at = now
+        clock = endpoint.lifetime.clock
+        if clock.has_restarted(clock_ms, asked_at=asked_at):
+            return tuple(self._reset_lifetime(endpoint, 0, now))
+        clock.read(clock_ms, asked_at=asked_at, now=now)
         return ()
 
     def start_refused(
@@ -378,6 +381,7 @@
             endpoint.hold = None
         endpoint.unanswered_holds = 0
         lifetime.clock.read(view.clock_ms, asked_at=asked_at, now=now)
+        lifetime.record_listing(now=now)
         lifetime.acknowledged_end = max(
             lifetime.acknowledged_end, order.last_end
         )
@@ -414,8 +418,19 @@
         lifetime: int,
         now: float,
     ) -> Iterator[Effect]:
-        """Reset the state of an endpoint that has restarted."""
-        yield from self._runs.requeue_lost_runs(endpoint)
-        endpoint.begin_lifetime(lifetime)
-        endpoint.fence(self._watch.tokens.issue(), Phase.joining)
-        yield from self._watch.send_due_orders(endpoint, now=now)
+        """Ask a restarted endpoint which of its runs are there.
+
+        Starts that were sent before the restart was known may be carried out
+        in the new lifetime, so no run counts as lost until the endpoint has
+        listed its runs, or the leases have surely expired.
+
+        Args:
+            endpoint: The endpoint.
+            lifetime: Number of the new lifetime; 0 if it is not known.
+            now: Current time in seconds.
+
+        Yields:
+            A log event, and a hold with a new fencing token.
+        """
+        endpoint.begin_lifetime(lifetime, now=now)
+        yield from self._watch.void(endpoint, 'restart', now=now)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -151,6 +151,50 @@
         assert world.results['a'].state is JobState.completed
 
 
+class TestRestartedEndpoints:
+    """Endpoints that restart under their ids, before their next heartbeat."""
+
+    def _restart(self, world: PoolWorld, *names: str) -> None:
+        for name in names:
+            world.workers[name].crash(world.now)
+
+    # Guards against tasks that run twice: a start that was sent before the
+    # restart was known is obeyed by the new lifetime, and was taken for lost.
+    def test_orders_for_an_earlier_lifetime_count(self) -> None:
+        world = PoolWorld(workers=4)
+        world.submit(JobPlan('earlier', 8, 0.1))
+        world.run_for(0.3)
+        self._restart(world, 'w0', 'w1')
+        world.submit(JobPlan('a', 4, 0.5))
+        world.run_for(2)
+        world.check()
+        assert world.took_ms('a') < 600
+
+    def test_tasks_of_the_earlier_lifetime_restart(self) -> None:
+        world = PoolWorld(workers=4)
+        world.submit(JobPlan('a', 4, 0.5))
+        world.run_for(0.1)
+        self._restart(world, 'w0', 'w1')
+        world.run_for(2)
+        world.check()
+        assert world.took_ms('a') < 1000
+
+    # Guards against tasks that run twice: an expiry on the clock of an earlier
+    # lifetime says nothing of when a run in the new one ends.
+    @pytest.mark.parametrize('seconds', [0.002, 0.02, 0.1, 0.3])
+    def test_cut_after_a_restart(self, seconds: float) -> None:
+        world = PoolWorld(workers=4)
+        world.submit(JobPlan('earlier', 8, 0.1))
+        world.run_for(0.3)
+        self._restart(world, 'w0', 'w1')
+        world.submit(JobPlan('a', 4, 2, patience=9))
+        world.run_for(seconds)
+        world.workers['w0'].faults.dark = True
+        world.run_for(6)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
+
 class TestLeavingEndpoints:
     """Endpoints that deregister."""
 
