Start nothing in a lifetime whose heartbeat has not arrived

Cause: its listing may come before its first heartbeat. The endpoint was ready then, with the resources and labels of its earlier lifetime.

Evidence: test_smaller_endpoint_waits_for_its_heartbeat failed before (takes_starts is True in the new lifetime, with the old report).

Change: an endpoint takes starts only while its newest heartbeat is of the lifetime that listed its runs. A start that is sent before the restart is known can still be obeyed by the smaller worker; that stays open.

--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -220,9 +220,14 @@
 
     @property
     def takes_starts(self) -> bool:
-        """Whether a task may be started here now."""
+        """Whether a task may be started here now.
+
+        A heartbeat of an earlier lifetime tells neither the resources nor the
+        labels of this one.
+        """
         return (
             self._phase is Phase.ready
+            and self._report.lifetime in {0, self.lifetime.number}
             and not self._report.draining
             and not self._foreign_runs
         )
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -194,6 +194,22 @@
         world.check()
         assert world.results['a'].state is JobState.completed
 
+    # Guards against an endpoint that gets more than fits: it came back smaller,
+    # and its runs were listed before its first heartbeat arrived.
+    def test_smaller_endpoint_waits_for_its_heartbeat(self) -> None:
+        world = PoolWorld(workers=1)
+        world.submit(JobPlan('a', 2, 0.3))
+        world.run_for(0.1)
+        self._restart(world, 'w0')
+        world.workers['w0'].millicores = 7000
+        world.run_for(0.3)
+        endpoint = world.dispatcher.endpoints[0]
+        assert endpoint.lifetime.number == world.workers['w0'].born
+        assert not endpoint.takes_starts
+        world.run_for(3)
+        world.check()
+        assert world.results['a'].state is JobState.completed
+
 
 class TestLeavingEndpoints:
     """Endpoints that deregister."""
