Settle an accepted value by a ballot after a restart

Cause: a replica rightly takes a value from before its restart for not yet in force, but only an operator's call or an instance that had not restarted led to a ballot that would find out. As an instance with an empty disk joins only once another one knows a value in force, replicas were not renewed either.

Change: a replica with a newer accepted value than it knows to be in force reads through a majority by itself, after 0.5 to 1 s. It needs no call from outside, and covers a proposer that is lost before it reports its outcome.

Both failed before: test_value_is_in_force_without_an_operator, test_replicas_are_renewed_after_power_loss (two disks lost one after the other). cuminstackd reads its register after a start and isn't affected.

--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -45,6 +45,14 @@
 _RESEND_SECONDS: Final = 0.3
 #: Seconds after which an operation without a quorum ends as `Unavailable`.
 OPERATION_TIMEOUT_SECONDS: Final = 2.5
+#: Seconds until a ballot settles an accepted value that isn't known to be in
+#: force; meanwhile its proposer, or another instance, may report it.
+_SETTLE_SECONDS: Final = 0.5
+#: Longest random addition to that, so that instances which restart together
+#: don't compete.
+_SETTLE_JITTER_SECONDS: Final = 0.5
+#: Ticket of operations that no caller waits for.
+_NO_TICKET: Final = 0
 #: Longest random back-off of a proposer that was refused because of a
 #: higher ballot, in seconds; about the time of two syncs.
 _MAX_BACKOFF_SECONDS: Final = 0.06
@@ -74,7 +82,8 @@
         self._acceptor = Acceptor(own, state)
         self._random_source = random_source
         # A value accepted before this start may have reached no quorum, so
-        # only the initial value of an unused disk counts as in force.
+        # only the initial value of an unused disk counts as in force.  A ballot
+        # settles any other one.
         is_first = state.accepted == NO_BALLOT
         first = state.value if is_first else EMPTY_VALUE
         self._in_force = KnownValue(NO_BALLOT, first, in_force=True)
@@ -84,6 +93,10 @@
         self._ballot_run: BallotRun | None = None
         self._resend_at: float = 0
         self._next_ballot_at: float = 0
+        # The newest value if it isn't known to be in force, and when to settle
+        # it.
+        self._unsettled_ballot = NO_BALLOT
+        self._settle_at: float = 0
 
     @property
     def replica(self) -> Replica:
@@ -161,6 +174,7 @@
     def tick(self, *, now: float) -> Effects:
         """Do what is due by now; call this several times a second."""
         effects = list(self._expire(now))
+        self._settle(now)
         if self._ballot_run is None:
             effects.extend(self._start_ballot(now))
         elif now >= self._resend_at:
@@ -218,6 +232,23 @@
         self._resend_at = now + _RESEND_SECONDS
         return self._ballot_run.pending_requests()
 
+    def _settle(self, now: float) -> None:
+        """Read the value in force if a newer one has been accepted here.
+
+        After a restart of all instances no other one can report it, and the
+        proposer of a value may be lost before it reports the outcome.
+        """
+        newest = self._newest_value
+        if newest.in_force:
+            self._unsettled_ballot = NO_BALLOT
+        elif newest.ballot != self._unsettled_ballot:
+            self._unsettled_ballot = newest.ballot
+            jitter = _SETTLE_JITTER_SECONDS * self._random_source.random()
+            self._settle_at = now + _SETTLE_SECONDS + jitter
+        elif now >= self._settle_at and not self._operations:
+            deadline = now + OPERATION_TIMEOUT_SECONDS
+            self._operations.append(Operation(_NO_TICKET, Change(), deadline))
+
     def _expire(self, now: float) -> Iterable[Effect]:
         expired = [each for each in self._operations if now >= each.deadline]
         for operation in expired:
@@ -301,9 +332,9 @@
         effects: list[Effect] = list(self._learn(outcome))
         effects.extend(self._finish_operations(run.change))
         # A further ballot is needed before the incoming replica set votes
-        # alone; ticket 0 belongs to no caller.
+        # alone.
         if outcome.value.incoming and not self._operations:
-            self._operations.append(Operation(0, Change(), now + 1))
+            self._operations.append(Operation(_NO_TICKET, Change(), now + 1))
         effects.extend(self._start_ballot(now))
         return tuple(effects)
 
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -79,6 +79,51 @@
         assert isinstance(outcome, InForce)
         assert outcome.value.body == b'four'
 
+    # Guards against a deployment that serves nothing after all its processes
+    # were killed, until an operator calls.
+    def test_value_is_in_force_without_an_operator(self) -> None:
+        world = DocumentWorld()
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        for name in (FIRST, SECOND, THIRD):
+            world.stop(name)
+        for name in (FIRST, SECOND, THIRD):
+            world.boot(name)
+        world.run_for(3)
+        versions = [each.in_force.version for each in world.documents.values()]
+        assert versions == [4, 4, 4]
+
+    # Guards against a value that is lost with two disks, one after the other,
+    # as no instance knew a value in force and so none was renewed.
+    def test_replicas_are_renewed_after_power_loss(self) -> None:
+        world = DocumentWorld()
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        for name in (FIRST, SECOND, THIRD):
+            world.stop(name)
+        for name in (FIRST, SECOND, THIRD):
+            world.boot(name)
+        world.run_for(3)
+        for disk, lost in enumerate((THIRD, SECOND), start=50):
+            chosen = world.documents[FIRST].chosen
+            world.wipe(lost, disk)
+            world.perform(lost, world.documents[lost].learn(chosen))
+            world.join(str(lost), Replica(lost, FIRST_DISK))
+            world.run_for(1)
+        ticket = world.read('c')
+        world.run_for(1)
+        outcome = world.outcomes[ticket]
+        assert isinstance(outcome, InForce)
+        assert outcome.value.body == b'four'
+
+    def test_settled_instances_start_no_ballots(self) -> None:
+        world = DocumentWorld()
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        disks = dict(world.disks)
+        world.run_for(5)
+        assert world.disks == disks
+
     def test_unsynced_value_is_lost_on_restart(self) -> None:
         world = DocumentWorld()
         world.submit('a', 4, b'four')
