Begin the candidacy anew after a pause

Cause: a candidacy lasts 0.1 s so that heartbeats in flight can arrive, but the time of a pause counted, and the heartbeats that came meanwhile are read only after the first turn.

Change: a candidacy doesn't outlast a gap between ticks that is longer than the silence after which others take this instance for lost.

test_paused_candidate_reads_before_it_leads failed before: term is 1.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -73,6 +73,7 @@
         self._term = 0
         self._term_began_at: float = 0
         self._candidate_since: float | None = None
+        self._ticked_at = now
         self._fenced_since: float | None = None
         self._relieves_deputies = False
         self._resigned_term = 0
@@ -153,6 +154,10 @@
                 deputies.
         """
         self._relieves_deputies = relieves_deputies
+        if now - self._ticked_at > HEARTBEAT_TIMEOUT_SECONDS:
+            # The heartbeats that came during a pause are still unread.
+            self._candidate_since = None
+        self._ticked_at = now
         rivals = self._rivals(now)
         if self._term:
             self._resolve_rivals(rivals, weight, now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -117,6 +117,19 @@
         election.tick(weight=3, now=1)
         assert election.term == 6
 
+    # Guards against a candidate that was paused and leads beside an instance
+    # whose heartbeats it hasn't read yet.
+    def test_paused_candidate_reads_before_it_leads(self) -> None:
+        election = Election(ONE, now=0)
+        for moment in range(28):
+            election.tick(weight=1, now=moment / 50)
+        assert not election.term
+        election.tick(weight=1, now=2)
+        assert not election.term
+        election.receive_beat(TWO, _control_beat(3, leads=True), now=2.01)
+        election.tick(weight=1, now=2.2)
+        assert not election.term
+
     # Guards against a dispatcher that was paused and outranks its successor,
     # as the heartbeats that came meanwhile are from before entries followed it.
     def test_paused_leader_without_entries_resigns(self) -> None:
