Take the lifetime that an endpoint answers with, also a lower one

Cause: listings of a lower lifetime were ignored as old. The endpoint counted as silent, and its runs as ended with the earlier leases.

Evidence: test_clock_set_back[True] failed before in the check that no task runs twice.

Change: an answer to a hold with the newest token comes from the present lifetime, whatever its number, since each restart that is noticed replaces the token. A heartbeat of a lower lifetime has the endpoint asked, as it may be late.

--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -147,7 +147,9 @@
                 on_change=self._capacity_index.mark_changed,
             )
             self._endpoints[report.endpoint] = known
-        if not report.is_as_new_as(known.report):
+        if 0 < report.lifetime < known.lifetime.number:
+            return tuple(self._check_lifetime(known, now))
+        if not known.is_news(report):
             return ()
         self._last_contacts[report.endpoint] = now
         known.report = report
@@ -328,7 +330,7 @@
                 taken = self._apply_view(endpoint, order, view, asked_at, now)
                 effects.extend(taken)
                 seen.append(endpoint)
-            elif view.lifetime > endpoint.lifetime.number:
+            else:
                 effects.extend(
                     self._reset_lifetime(endpoint, view.lifetime, now)
                 )
@@ -412,6 +414,17 @@
         if silence > _FORGET_SECONDS and not endpoint.runs:
             yield from self.forget(name, now=now)
 
+    def _check_lifetime(
+        self, endpoint: Endpoint, now: float
+    ) -> Iterator[Effect]:
+        """Ask an endpoint that reports an earlier lifetime for its present one.
+
+        The heartbeat is late, or the endpoint has restarted after its clock
+        was set back.
+        """
+        if endpoint.phase is Phase.ready:
+            yield from self._watch.void(endpoint, 'lifetime', now=now)
+
     def _reset_lifetime(
         self,
         endpoint: Endpoint,
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -244,6 +244,16 @@
         """Time by which the leases of all runs ordered so far have expired."""
         return self.lifetime.leases_end_at
 
+    def is_news(self, report: EndpointReport) -> bool:
+        """Return whether a heartbeat is newer than the known one, or as new.
+
+        The first heartbeat of the present lifetime is, even if the clock was
+        set back, so that an earlier lifetime has a higher number.
+        """
+        is_present = report.lifetime == self.lifetime.number
+        is_first = is_present and report.lifetime != self._report.lifetime
+        return is_first or report.is_as_new_as(self._report)
+
     def rejoin(self, *, now: float) -> None:
         """Require a listing of runs that is requested from now on."""
         self._joins_from = now
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -210,6 +210,23 @@
         world.check()
         assert world.results['a'].state is JobState.completed
 
+    # Guards against tasks that run twice at an endpoint whose clock was set
+    # back, so that its new lifetime has a lower number.
+    @pytest.mark.parametrize('has_jobs', [True, False])
+    def test_clock_set_back(self, *, has_jobs: bool) -> None:
+        world = PoolWorld(workers=4)
+        self._restart(world, 'w0', 'w1')
+        world.run_for(3)
+        self._restart(world, 'w0', 'w1')
+        for name in ('w0', 'w1'):
+            world.workers[name].born = 1
+        if has_jobs:
+            world.submit(JobPlan('a', 4, 0.5))
+        world.run_for(4)
+        world.check()
+        assert all(each.takes_starts for each in world.dispatcher.endpoints)
+        assert all(world.took_ms(name) < 600 for name in world.submitted)
+
 
 class TestLeavingEndpoints:
     """Endpoints that deregister."""
