--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -69,10 +69,7 @@
         world = DocumentWorld()
         world.submit('a', 4, b'four')
         world.run_for(1)
-        for name in (FIRST, SECOND, THIRD):
-            world.stop(name)
-        for name in (FIRST, SECOND, THIRD):
-            world.boot(name)
+        _restart_all(world)
         ticket = world.read('b')
         world.run_for(1)
         outcome = world.outcomes[ticket]
@@ -85,10 +82,7 @@
         world = DocumentWorld()
         world.submit('a', 4, b'four')
         world.run_for(1)
-        for name in (FIRST, SECOND, THIRD):
-            world.stop(name)
-        for name in (FIRST, SECOND, THIRD):
-            world.boot(name)
+        _restart_all(world)
         world.run_for(3)
         versions = [each.in_force.version for each in world.documents.values()]
         assert versions == [4, 4, 4]
@@ -99,10 +93,7 @@
         world = DocumentWorld()
         world.submit('a', 4, b'four')
         world.run_for(1)
-        for name in (FIRST, SECOND, THIRD):
-            world.stop(name)
-        for name in (FIRST, SECOND, THIRD):
-            world.boot(name)
+        _restart_all(world)
         world.run_for(3)
         for disk, lost in enumerate((THIRD, SECOND), start=50):
             chosen = world.documents[FIRST].chosen
@@ -205,6 +196,14 @@
         assert decode_state(encode_state(state)) == state
 
 
+def _restart_all(world: DocumentWorld) -> None:
+    """Cut the power of all instances, then start them from their disks."""
+    for name in (FIRST, SECOND, THIRD):
+        world.stop(name)
+    for name in (FIRST, SECOND, THIRD):
+        world.boot(name)
+
+
 def _inject_fault(world: DocumentWorld, disk: int) -> int:
     """Cut one link, stop or wipe one instance, or undo such faults.
 
