Say when an endpoint is voiding

Found in the read-through: the phases of an endpoint still said that a restarted one is joining. Only the docstring changes; tests/test_pool.py and the linters pass.

--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -23,9 +23,10 @@
     of an endpoint's runs and lists them.  A joining, voiding or silent endpoint
     becomes ready when it answers a hold with the current fencing token.
 
-    * joining: new or restarted, and has not answered a hold yet.
+    * joining: new, and has not answered a hold yet.
     * ready: may get starts.
-    * voiding: a new token was issued to void earlier orders, and no hold with
+    * voiding: a new token was issued to void earlier orders, as an order had no
+      answer, it restarted or a later term began, and no hold with
       that token has been answered.
     * silent: still unanswered after its leases have expired.
     * gone: removed from the dispatcher.
