--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,12 +1,16 @@
-"""A restarted control instance reuses a ballot, and an acked change is lost."""
+"""Workers restart as another kind behind a cut, and get starts for the old."""
 
+import asyncio
+import json
 import sys
 import time
+from collections import defaultdict
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
+import aiohttp  # noqa: E402
 from common2 import (  # noqa: E402
     TROUBLE,
     Cluster,
@@ -16,140 +20,163 @@
     run_case,
     wait_for,
 )
-
-#: Latest start of another try; the script may take 120 seconds.
-LAST_TRY_SECONDS = 92
-CONFIG_APPLY_SECONDS = 2.0
-HOST = 'nony24.example'
-#: When the operator sends the next change, after the instance listens again.
-SEND_AFTER_SECONDS = 0.075
-#: How long the instance stays down, by try.
-DOWN_SECONDS = (0, 0.05, 0.1, 0.15, 0.2)
-
-
-def state_of(version):
-    prefix = f'/v{version}/'
-    return desired_state(version, routes=[('r-1', HOST, prefix, 'huvo11a')])
-
-
-class Operator:
-    """Sends desired states, and reads them back."""
-
-    def __init__(self, cluster, record):
-        self.cluster = cluster
+from worker2 import Worker  # noqa: E402
+
+HOST, PREFIX, SERVICE = 'nony24.example', '/lohu930/', 'huvo11a'
+WORKERS = 24
+#: Workers that are cut off, 0.17 of all, and for how long.
+CUT_WORKERS = 4
+CUT_SECONDS = 1.4
+#: When the cut workers crash and start again, after the cut begins.
+CRASH_AFTER_SECONDS = 0.2
+#: When the client hands its job in, after the cut has healed.
+JOB_AFTER_SECONDS = 0.1
+OLD_KIND, OLD_ROOM = 'a', (16000, 32768, 0)
+NEW_KIND, NEW_ROOM = 'b', (8000, 16384, 0)
+RACKS = 3
+TASK_CPU, TASK_SECONDS = 6800, 0.9
+
+
+class Watcher:
+    """Checks ROUTE and LIMIT from what the workers see."""
+
+    def __init__(self, record):
         self.record = record
-        self.acked = 0
-        self.acked_at = 0
-
-    def replace(self, control, version, seconds=1.0):
-        status, answer = call(
-            control.control,
-            'POST',
-            '/api/Config.Replace',
-            state_of(version),
-            seconds=seconds,
+        self.taken = defaultdict(dict)
+        self.steps = {}
+        self.broken = []
+
+    def seconds_of(self, worker, body):
+        return TASK_SECONDS
+
+    def started(self, worker, run, body):
+        step = self.steps[run.task.split('.')[0]]
+        taken = self.taken[worker.name]
+        taken[run.task, run.number] = step['cpu']
+        self.record.write(
+            f'{worker.name} (kind {worker.labels[0]}, cpu {worker.room[0]}) '
+            f'starts {run.task} run {run.number}'
         )
-        self.record.write(f'{control.name} replace version {version}: {status}')
-        if status == 200:
-            self.acked = max(self.acked, version)
-            self.acked_at = time.monotonic()
-        return status
-
-    def read(self, control):
-        status, answer = call(control.control, 'GET', '/api/Config.Read')
-        version = answer['version'] if status == 200 else None
-        self.record.write(f'{control.name} read: {status} version {version}')
-        return version
-
-
-def refuse_writes(control):
-    """Have the disk of an instance take no more bytes."""
-    control.data.rename(control.folder / 'data.full')
-    control.data.write_text('')
-
-
-def accept_writes(control):
-    control.data.unlink()
-    (control.folder / 'data.full').rename(control.data)
-
-
-def is_open(control):
-    status, _ = call(control.control, 'GET', '/api/none', seconds=0.3)
-    return status == 404
-
-
-def play_try(cluster, operator, record, number, version):
-    first = cluster.controls[0]
-    # All three hold the newest version, and it is on their disks.
-    for control in cluster.controls:
-        wait_for(
-            lambda: operator.read(control) == operator.acked, 8, 'no steady state'
+        label = step.get('constraints')
+        if label and label not in worker.labels:
+            self._break(f'ROUTE {run.task} needs {label} on {worker.name}')
+        if sum(taken.values()) > worker.room[0]:
+            self._break(f'LIMIT {worker.name} {sum(taken.values())}')
+
+    def ended(self, worker, run, how):
+        self.taken[worker.name].pop((run.task, run.number), None)
+        self.record.write(f'{worker.name} ends {run.task} run {run.number}: {how}')
+
+    def _break(self, text):
+        self.broken.append(text)
+        self.record.write(f'BROKEN: {text}')
+
+
+async def submit(session, cluster, record, watcher, job, count):
+    step = {
+        'count': count,
+        'cpu': TASK_CPU,
+        'memMb': 64,
+        'estRuntimeMs': int(TASK_SECONDS * 1000),
+        'constraints': OLD_KIND,
+    }
+    watcher.steps[job] = step
+    body = {'spec': f'spec of {job}', 'bestEffort': True, 'steps': [step]}
+    record.write(f'POST {job}: {count} tasks for kind {OLD_KIND}')
+    async with session.post(
+        f'http://{cluster.entries[0].front}{PREFIX}{job}',
+        data=json.dumps(body),
+        headers={
+            'Host': HOST,
+            'Content-Type': 'application/json',
+            'X-Deadline-Ms': '6000',
+        },
+    ) as response:
+        record.write(f'POST {job}: {response.status} {await response.text()}')
+
+
+async def cut_and_restart(record, workers):
+    """Cut workers off; they crash, and start again as another kind."""
+    began = time.monotonic()
+    for worker in workers:
+        worker.is_cut = True
+        record.write(f'{worker.name} is cut off')
+    await asyncio.sleep(CRASH_AFTER_SECONDS)
+    for worker in workers:
+        await worker.crash()
+        worker.labels = (NEW_KIND, worker.labels[1])
+        worker.room = NEW_ROOM
+        await worker.start()
+        record.write(f'{worker.name} has crashed and started as {NEW_KIND}')
+    await asyncio.sleep(began + CUT_SECONDS - time.monotonic())
+    for worker in workers:
+        worker.is_cut = False
+        record.write(f'{worker.name} is back in touch')
+
+
+async def play_job(cluster, record):
+    watcher = Watcher(record)
+    workers = [
+        Worker(
+            f'i-5f3a{n:04x}',
+            ip=f'{cluster.net}.{n + 101}',
+            port=cluster.control_port + 3,
+            service=SERVICE,
+            zone=Cluster.ZONES[n % 3],
+            controls=[each.control for each in cluster.controls],
+            watcher=watcher,
+            labels=(OLD_KIND if n % 2 else NEW_KIND, f'r1-{n % RACKS}'),
+            room=OLD_ROOM,
+        )
+        for n in range(WORKERS)
+    ]
+    for worker in workers:
+        await worker.start()
+    try:
+        state = desired_state(1, routes=[('r-1', HOST, PREFIX, SERVICE)])
+        await asyncio.to_thread(
+            wait_for,
+            lambda: call(
+                cluster.controls[0].control, 'POST', '/api/Config.Replace', state
+            )[0]
+            == 200,
+            15,
+            'no first state',
         )
-    time.sleep(0.25)
-    if TROUBLE:
-        refuse_writes(first)
-        record.write(f'{first.name}: its disk takes no more bytes')
-    if operator.replace(first, version) != 200:
-        record.write('this change was not acknowledged')
-    if TROUBLE:
-        first.kill()
-        record.write(f'{first.name}: SIGKILL')
-        accept_writes(first)
-        time.sleep(DOWN_SECONDS[number % len(DOWN_SECONDS)])
-        first.start()
-        record.write(f'{first.name}: started, its disk takes bytes again')
-        wait_for(lambda: is_open(first), 5, 'no restart', interval=0.004)
-        record.write(f'{first.name}: listens')
-        time.sleep(SEND_AFTER_SECONDS)
-    wait_for(
-        lambda: operator.replace(first, version + 1) == 200,
-        8,
-        'no acknowledgement',
-        interval=0.2,
-    )
-    acked = operator.acked
-    time.sleep(0.2)
-    others = cluster.controls[1:]
-    if all(operator.read(control) == acked for control in others):
-        return True
-    time.sleep(CONFIG_APPLY_SECONDS + 0.5)
-    held = True
-    for control in cluster.controls:
-        found = operator.read(control)
-        if found is not None and found < acked:
-            record.write(f'BROKEN: {control.name} reads {found} after {acked}')
-            held = False
-    entry = cluster.entries[0]
-    status, _ = call(entry.front, 'GET', f'/v{acked}/', host=HOST)
-    record.write(f'{entry.name} GET /v{acked}/: {status}')
-    return held
+        ready = cluster.entries[0].ready
+        await asyncio.to_thread(
+            wait_for,
+            lambda: call(ready, 'GET', '/api/readiness')[0] == 200,
+            15,
+            'the entry is not ready',
+        )
+        await asyncio.sleep(5.0)
+        kind = [each for each in workers if OLD_KIND in each.labels]
+        async with aiohttp.ClientSession() as session:
+            for number in range(3):
+                cut = kind[number * CUT_WORKERS : (number + 1) * CUT_WORKERS]
+                if TROUBLE:
+                    await cut_and_restart(record, cut)
+                await asyncio.sleep(JOB_AFTER_SECONDS)
+                job = f'{number + 1:016x}'
+                await submit(session, cluster, record, watcher, job, 2 * len(kind))
+                await asyncio.sleep(5.0)
+                kind = [each for each in workers if OLD_KIND in each.labels]
+                if TROUBLE:
+                    break
+    finally:
+        for worker in workers:
+            await worker.crash()
+    if not watcher.steps:
+        raise CouldNotRun('no job')
+    return not watcher.broken
 
 
 def play(record):
     cluster = Cluster(controls=3, entries=1)
     try:
         cluster.start()
-        operator = Operator(cluster, record)
-        wait_for(
-            lambda: operator.replace(cluster.controls[0], 1) == 200,
-            15,
-            'no first state',
-            interval=0.3,
-        )
-        time.sleep(2.0)
-        number = 0
-        while record.seconds < LAST_TRY_SECONDS:
-            if not play_try(cluster, operator, record, number, 2 + 2 * number):
-                end = time.monotonic() + 4.0
-                while time.monotonic() < end:
-                    for control in cluster.controls:
-                        operator.read(control)
-                    time.sleep(1.0)
-                return False
-            number += 1
-        if not number:
-            raise CouldNotRun('no try')
-        return True
+        return asyncio.run(play_job(cluster, record))
     finally:
         cluster.close()
 
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec python3 -B "$(dirname "$0")/play.py"
+folder=$(dirname "$0")
+PYTHONPATH="$folder/../../target/deps" exec python3 -B "$folder/play.py"
--- a/review/worker2.py
+++ b/review/worker2.py
@@ -12,6 +12,10 @@
 from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
 
 HEARTBEAT_SECONDS = 1.5
+#: Time-out of a liveness report, after which the next daemon is called.
+CALL_SECONDS = 1.0
+#: How long a call that gets no answer is kept open.
+SILENCE_SECONDS = 30.0
 MAX_HOLD_MS = 1000
 STOP_SECONDS = 0.01
 MAX_ENDS = 500
@@ -176,13 +180,15 @@
             if not self.is_up or self.born != lifetime:
                 raise web.HTTPServiceUnavailable
             if self.is_cut:
-                await asyncio.sleep(30)
+                # Lost: the sender gives up before it is delivered.
+                await asyncio.sleep(SILENCE_SECONDS)
+                raise web.HTTPServiceUnavailable
             expected = request.headers.get('X-Expected-Instance')
             if expected is not None and expected != self.name:
                 return self._answer(421)
             if random.random() < self.late_share:
                 asyncio.create_task(self._late(handle, body, lifetime))
-                await asyncio.sleep(30)
+                await asyncio.sleep(SILENCE_SECONDS)
             status, fields = await handle(body)
             return self._answer(status, **fields)
 
@@ -292,7 +298,7 @@
         }
 
     async def _beat_forever(self):
-        timeout = ClientTimeout(total=1)
+        timeout = ClientTimeout(total=CALL_SECONDS)
         async with ClientSession(
             timeout=timeout, connector=TCPConnector(force_close=True)
         ) as session:
@@ -305,12 +311,14 @@
         random.shuffle(controls)
         for control in controls:
             if self.is_cut:
-                return
+                # This call times out, and the next one is called.
+                await asyncio.sleep(CALL_SECONDS)
+                continue
             url = f'http://{control}/api/Instances.Heartbeat/{self.name}'
             try:
                 async with session.post(url, json=self.report()) as response:
                     await response.read()
                     if response.status // 100 == 2:
                         return
-            except (OSError, TimeoutError, Exception):
+            except Exception:  # the next one is called
                 continue
