--- a/review/common2.py
+++ b/review/common2.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -316,5 +317,9 @@
     except CouldNotRun as error:
         record.write(f'could not run: {error}')
         status = COULD_NOT_RUN
+    except Exception:
+        # A fault of the script says nothing about the rule.
+        record.write(f'could not run: {traceback.format_exc()}')
+        status = COULD_NOT_RUN
     record.write(f'exit {status}')
     sys.exit(status)
