Raise the term of a fenced dispatcher in small steps

Cause: a dispatcher cut off with its entries and its successor fence each other at all endpoints, and the one that is fenced doubled its term after a second, taking the other's term for one that was lost with all stored state. A cut of 7 s multiplied the term by 64, until run numbers (1,000 times the term) passed 2**31 and the listed runs could not be decoded.

Change: an endpoint that obeyed the present term and then fences it obeys a live rival, which is one term ahead, so the step is 2. Only while no endpoint has obeyed the term do the steps double, which finds a lost term as soon as before. The refusal says which of the two it is.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -27,6 +27,9 @@
 #: instance begins a term above it.  If the dispatcher of that term is
 #: reachable, its heartbeat arrives well before.
 _FENCED_SECONDS: Final = 1.0
+#: Terms by which to outrank a rival that is out of reach.  Its term is usually
+#: one above this dispatcher's; equal terms would leave the endpoints divided.
+_RIVAL_STEP: Final = 2
 #: Seconds for which an instance must have been the first candidate before it
 #: leads, so that heartbeats in flight can still arrive.
 _CANDIDACY_SECONDS: Final = 0.1
@@ -75,6 +78,8 @@
         self._candidate_since: float | None = None
         self._ticked_at = now
         self._fenced_since: float | None = None
+        self._has_obeyed = False
+        self._step = 1
         self._relieves_deputies = False
         self._resigned_term = 0
 
@@ -170,22 +175,25 @@
         else:
             self._advance_candidacy(now)
 
-    def handle_fenced(self, *, now: float) -> None:
-        """Handle that endpoints obey a later term than any known one.
+    def handle_fenced(self, *, has_obeyed: bool, now: float) -> None:
+        """Handle that an endpoint obeys a later term than any known one.
 
         The dispatcher of that term is unreachable, or its stored term was
         lost.  A term above it begins once this has lasted, but only while an
         entry in touch follows this dispatcher and no rival is known.
+
+        Args:
+            has_obeyed: Whether the endpoint obeyed the present term before.
+            now: The present time in seconds.
         """
         if not self._term or self._rivals(now) or not self._has_followers(now):
             self._fenced_since = None
-        elif self._fenced_since is None:
+            return
+        self._has_obeyed = self._has_obeyed or has_obeyed
+        if self._fenced_since is None:
             self._fenced_since = now
         elif now - self._fenced_since >= _FENCED_SECONDS:
-            self._fenced_since = None
-            # Doubled, as many terms may have been lost with stored state.
-            self._highest_term *= 2
-            self._begin_term(now)
+            self._begin_term(now, step=self._next_step())
 
     def leave(self) -> None:
         """Resign, and never lead again."""
@@ -263,8 +271,21 @@
         if now - self._candidate_since >= _CANDIDACY_SECONDS:
             self._begin_term(now)
 
-    def _begin_term(self, now: float) -> None:
-        self._highest_term += 1
+    def _next_step(self) -> int:
+        """Return by how much to raise the term of a fenced dispatcher.
+
+        Endpoints that have obeyed the present term now obey a rival that is
+        live, whose term is close.  Otherwise the term that they obey may have
+        been lost with all stored state.  Steps that double find it soon, and
+        don't add up while two dispatchers outrank each other in turn.
+        """
+        return _RIVAL_STEP if self._has_obeyed else 2 * self._step
+
+    def _begin_term(self, now: float, *, step: int = 1) -> None:
+        self._step = step
+        self._has_obeyed = False
+        self._fenced_since = None
+        self._highest_term += step
         self._term = self._highest_term
         self._term_began_at = now
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -292,7 +292,7 @@
         if order.token != endpoint.token:
             return ()
         if refusal is Refusal.fenced:
-            return (Fenced(order.endpoint),)
+            return (Fenced(order.endpoint, endpoint.has_joined),)
         if endpoint.phase is not Phase.ready:
             return ()
         return tuple(self._watch.void(endpoint, refusal.value, now=now))
--- a/src/cuminstack/pool/_effects.py
+++ b/src/cuminstack/pool/_effects.py
@@ -10,9 +10,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Fenced:
-    """An endpoint obeys a fencing token newer than any of this dispatcher."""
+    """An endpoint obeys a fencing token newer than any of this dispatcher.
+
+    Args:
+        endpoint: The endpoint.
+        has_obeyed: Whether it obeyed this dispatcher earlier in its term, so
+            that another one has issued the newer token since.
+    """
 
     endpoint: EndpointId
+    has_obeyed: bool
 
 
 class JobState(enum.Enum):
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -57,7 +57,7 @@
         queue_order: Name of the order in which waiting jobs are scheduled.
         session: Number that identifies this dispatcher's orders; unique.
         send: Sends a message to an instance.
-        on_fenced: Called when endpoints obey a later term.
+        on_fenced: Called when an endpoint obeys a later term.
         work: Counts the orders and their answers.
         now: The present time.
     """
@@ -70,7 +70,7 @@
         queue_order: str,
         session: int,
         send: MessageSender,
-        on_fenced: Callable[[], None],
+        on_fenced: Callable[[Fenced], None],
         work: WorkLog,
         now: float,
     ) -> None:
@@ -211,7 +211,7 @@
                 case StartRun() | Hold() | StopRun():
                     self._issue(effect)
                 case Fenced():
-                    self._on_fenced()
+                    self._on_fenced(effect)
                 case LogEvent():
                     log_event(
                         effect.event,
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -20,7 +20,7 @@
 )
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
-from cuminstack.pool import EndpointReport
+from cuminstack.pool import EndpointReport, Fenced
 from cuminstack.roles._active_dispatcher import ActiveDispatcher
 from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._clock import TICK_SECONDS, steady_now
@@ -328,8 +328,10 @@
         entries = set(self.connected_entries(now=now)) - {self._own}
         return choose_evenly_spaced(entries, most=_MAX_ENTRY_CARRIERS)
 
-    def _on_fenced(self) -> None:
-        self._election.handle_fenced(now=steady_now())
+    def _on_fenced(self, fenced: Fenced) -> None:
+        self._election.handle_fenced(
+            has_obeyed=fenced.has_obeyed, now=steady_now()
+        )
 
     def _submit(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -53,8 +53,10 @@
     return effects[0]
 
 
-def _run_alone(own: InstanceId, seconds: float = 1) -> Election:
-    election = Election(own, now=0)
+def _run_alone(
+    own: InstanceId, seconds: float = 1, *, highest_term: int = 0
+) -> Election:
+    election = Election(own, highest_term=highest_term, now=0)
     for moment in range(int(seconds * 50)):
         election.tick(weight=1, now=moment / 50)
     return election
@@ -180,20 +182,45 @@
     def test_fenced_leader_begins_later_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, ONE, now=2)
-        election.handle_fenced(now=2)
+        election.handle_fenced(has_obeyed=False, now=2)
         election.record_leader_report(ENTRY, ONE, now=2.5)
-        election.handle_fenced(now=2.5)
+        election.handle_fenced(has_obeyed=False, now=2.5)
         assert election.term == 1
-        election.handle_fenced(now=3)
+        election.handle_fenced(has_obeyed=False, now=3)
         assert election.term > 1
 
+    # Guards against run numbers and tokens that leave their range: while two
+    # dispatchers outranked each other in turn, the term doubled each time.
+    def test_rivals_out_of_reach_raise_terms_slowly(self) -> None:
+        rivals = (_run_alone(ONE), _run_alone(TWO, highest_term=1))
+        obeyed = 0
+        for moment in range(10, 610):
+            now = moment / 10
+            for own, election in zip((ONE, TWO), rivals, strict=True):
+                election.record_leader_report(ENTRY, own, now=now)
+                if election.term >= obeyed:
+                    obeyed = election.term
+                else:
+                    election.handle_fenced(has_obeyed=True, now=now)
+        # Each of them outranks the other at most once a second.
+        assert 30 <= obeyed <= 62
+
+    def test_lost_term_is_found_soon(self) -> None:
+        election = _run_alone(ONE)
+        lost_term = 1_000_000
+        for moment in range(10, 250):
+            election.record_leader_report(ENTRY, ONE, now=moment / 10)
+            if election.term <= lost_term:
+                election.handle_fenced(has_obeyed=False, now=moment / 10)
+        assert lost_term < election.term < 3 * lost_term
+
     # Guards against a dispatcher that no entry follows and that takes
     # endpoints away from the one that entries have.
     def test_leader_without_entries_begins_no_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, TWO, now=2)
         for moment in range(20, 50):
-            election.handle_fenced(now=moment / 10)
+            election.handle_fenced(has_obeyed=False, now=moment / 10)
         assert election.term == 1
 
     def test_term_that_an_entry_reports_is_recorded(self) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,7 +7,14 @@
 from bench.pool import ENTRY, JobPlan, PoolWorld
 
 from cuminstack.core import EndpointId, JobKey
-from cuminstack.pool import Hold, JobState, _assignment, order_names
+from cuminstack.pool import (
+    Fenced,
+    Hold,
+    JobState,
+    Refusal,
+    _assignment,
+    order_names,
+)
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
@@ -339,6 +346,29 @@
         world.run_for(0.1)
         assert all(each.has_joined for each in dispatcher.endpoints)
 
+    # Guards against terms that grow fast while a rival is out of reach, as it
+    # is taken for a dispatcher whose term was lost.
+    def test_fenced_dispatcher_was_obeyed(self) -> None:
+        world = PoolWorld(workers=1)
+        world.run_for(0.1)
+        dispatcher = world.dispatcher
+        endpoint = dispatcher.endpoints[0]
+        hold = dispatcher._watch.request_listing(endpoint, now=world.now)
+        effects = dispatcher.hold_refused(hold, Refusal.fenced, now=world.now)
+        assert effects == (Fenced(endpoint.report.endpoint, has_obeyed=True),)
+
+    def test_fenced_dispatcher_was_never_obeyed(self) -> None:
+        world = PoolWorld(workers=1)
+        world.run_for(0.1)
+        dispatcher = world.dispatcher
+        dispatcher.begin_term(2, now=world.now)
+        endpoint = dispatcher.endpoints[0]
+        assert endpoint.hold is not None
+        effects = dispatcher.hold_refused(
+            endpoint.hold, Refusal.fenced, now=world.now
+        )
+        assert effects == (Fenced(endpoint.report.endpoint, has_obeyed=False),)
+
     def test_unclaimed_tasks_expire(self) -> None:
         world = PoolWorld(workers=1)
         world.submit(JobPlan('a', 2, 3))
