Read each run of ours that an endpoint lists, whatever its number

Cause: a run number was decoded up to 2**31 only, though it grows with each term, and a row that can't be decoded was skipped. A run that is confirmed and not listed counts as lost, so its task was started again.

Change: run numbers have the exact range of JSON numbers. A row of running tasks that names a task of this system but no valid run number makes the whole answer unreadable, so that the endpoint's orders are voided and its leases not renewed, instead of its runs counted as lost. Rows with other names can't be ours and are skipped as before.

test_high_run_numbers_are_read and test_run_without_a_valid_number (5 cases) failed before.

--- a/src/cuminstack/platform/_jobs.py
+++ b/src/cuminstack/platform/_jobs.py
@@ -7,7 +7,7 @@
 
 from cuminstack.core import JobKey
 from cuminstack.platform._numbers import Amount, Milliseconds, Serial
-from cuminstack.pool import JobRequest, Resources, RunKey, Step, TaskKey
+from cuminstack.pool import JobRequest, Resources, Step, TaskKey
 
 #: Form of a job key, which the caller chooses.
 _JOB_KEY_PATTERN: Final = re.compile('[0-9a-fA-F]{16}')
@@ -133,21 +133,20 @@
     return f'{task.job}.0.{task.step}.{task.index}'
 
 
-def decode_run(task: str, number: int) -> RunKey:
-    """Decode a run that a worker lists.
+def decode_task(name: str) -> TaskKey:
+    """Decode the name of a task that a worker lists.
 
     Args:
-        task: Name of the task, as `task_name` returns it.
-        number: Number of the run.
+        name: The name, as `task_name` returns it.
 
     Raises:
         ValueError: The name isn't one of a task.
     """
-    parts = task.split('.')
+    parts = name.split('.')
     if len(parts) != _TASK_NAME_PARTS:
         raise ValueError('not a task name')
     job, _, step, index = parts
     key = TaskKey(JobKey(job), int(step), int(index))
-    if min(key.step, key.index) < 0 or task != task_name(key):
+    if min(key.step, key.index) < 0 or name != task_name(key):
         raise ValueError('not a task name')
-    return RunKey(key, number)
+    return key
--- a/src/cuminstack/platform/_numbers.py
+++ b/src/cuminstack/platform/_numbers.py
@@ -22,7 +22,10 @@
 Timestamp = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
 #: An amount of a resource, such as millicores or MB.
 Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
-#: A serial number or a count of items.
+#: Number of a run.  A later dispatcher starts from higher ones, so they grow
+#: as long as the deployment lives.
+RunNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
+#: A count of items in one message, or a rank.
 Serial = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SERIAL)]
 #: A duration in milliseconds.
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS)]
--- a/src/cuminstack/platform/_workers.py
+++ b/src/cuminstack/platform/_workers.py
@@ -8,12 +8,12 @@
 
 from cuminstack.core import EndpointId, ZoneName
 from cuminstack.logs import log_event
-from cuminstack.platform._jobs import decode_run
+from cuminstack.platform._jobs import decode_task
 from cuminstack.platform._numbers import (
     Amount,
     Milliseconds,
     Percent,
-    Serial,
+    RunNumber,
     Timestamp,
 )
 from cuminstack.pool import (
@@ -23,6 +23,7 @@
     Refusal,
     Resources,
     RunEnd,
+    RunKey,
     RunProgress,
 )
 from cuminstack.settings import Address, LogLevel, NotReadable
@@ -43,6 +44,10 @@
     """A heartbeat is malformed."""
 
 
+class UnreadableRun(msgspec.DecodeError):
+    """A list of running tasks has one of ours without a valid run number."""
+
+
 class _Capacity(msgspec.Struct, rename='camel'):
     cpu: Amount = 0
     mem_mb: Amount = 0
@@ -90,13 +95,18 @@
 )
 
 
-#: Task and run; checkpoint and percent follow.
-_RunningRow = tuple[str, Serial]
+#: Columns of a row of the running tasks, after the name of the task.
+_RUN_COLUMN: Final = 1
 _PERCENT_COLUMN: Final = 3
 #: Number, task, run, kind of end.
-_EndRow = tuple[Timestamp, str, Serial, str]
+_EndRow = tuple[Timestamp, str, RunNumber, str]
 #: Raised for malformed rows: not a list, a wrong type, or not a run's name.
-_ROW_ERRORS: Final = (TypeError, msgspec.ValidationError, ValueError)
+_ROW_ERRORS: Final = (
+    LookupError,
+    TypeError,
+    msgspec.ValidationError,
+    ValueError,
+)
 
 
 def decode_heartbeat(endpoint: str, body: bytes) -> EndpointReport:
@@ -169,9 +179,11 @@
 def decode_view(body: bytes) -> EndpointView:
     """Decode the running and the ended runs that a worker lists.
 
-    Malformed rows are logged and skipped.
+    Malformed rows are logged and skipped, except those of running tasks that
+    this system may have started.
 
     Raises:
+        UnreadableRun: It isn't clear which run of a task is running.
         msgspec.DecodeError: The answer as a whole is malformed.
         RecursionError: The answer is nested too deeply.
     """
@@ -188,6 +200,8 @@
     for row in rows:
         try:
             yield decode_row(row)
+        except UnreadableRun:
+            raise
         except _ROW_ERRORS as error:
             log_event(
                 'worker.bad_row',
@@ -202,8 +216,15 @@
 
 
 def _decode_progress(row: list[Any]) -> RunProgress:
-    task, number = msgspec.convert(row[:2], _RunningRow)
-    return RunProgress(decode_run(task, number), _decode_percent(row))
+    name = msgspec.convert(row[0], str)
+    task = decode_task(name)
+    try:
+        number = msgspec.convert(row[_RUN_COLUMN], RunNumber)
+    except (IndexError, msgspec.ValidationError) as error:
+        # Skipping the row would make the run count as lost, so that the task
+        # would be started again.
+        raise UnreadableRun(f'{name}: {error}') from error
+    return RunProgress(RunKey(task, number), _decode_percent(row))
 
 
 def _decode_percent(row: list[Any]) -> float:
@@ -220,4 +241,4 @@
 
 def _decode_end(row: list[Any]) -> RunEnd:
     number, task, run, kind = msgspec.convert(row[:4], _EndRow)
-    return RunEnd(number, decode_run(task, run), EndKind(kind))
+    return RunEnd(number, RunKey(decode_task(task), run), EndKind(kind))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,13 +20,14 @@
     BadJob,
     UnsupportedJob,
     decode_job,
-    decode_run,
+    decode_task,
     task_name,
 )
 from cuminstack.platform._metrics import MetricsPage, outcome_label
 from cuminstack.platform._settings import BadSettings, decode_settings
 from cuminstack.platform._workers import (
     BadReport,
+    UnreadableRun,
     decode_heartbeat,
     decode_refusal,
     decode_view,
@@ -134,8 +135,8 @@
             decode_job(body, key=KEY, queue='r')
 
     def test_task_names(self) -> None:
-        run = decode_run(f'{KEY}.0.1.17', 2)
-        assert task_name(run.task) == f'{KEY}.0.1.17'
+        name = f'{KEY}.0.1.17'
+        assert task_name(decode_task(name)) == name
 
 
 class TestWorkers:
@@ -181,6 +182,31 @@
         assert [row.percent for row in view.running] == [41]
         assert [end.kind for end in view.ends] == [EndKind.done]
 
+    # Guards against runs that count as lost once numbers pass 2**31, so that
+    # each task is started again while it runs.
+    def test_high_run_numbers_are_read(self) -> None:
+        number = 4_260_350_001
+        view = decode_view(
+            _to_json(
+                {
+                    'clockMs': 5,
+                    'running': [[f'{KEY}.0.0.0', number, '', 41, 7]],
+                    'finished': [[58, f'{KEY}.0.0.1', number, 'done', '']],
+                },
+            ),
+        )
+        assert [row.run.number for row in view.running] == [number]
+        assert [end.run.number for end in view.ends] == [number]
+
+    # Guards against a task that is started again while it runs, as the row
+    # that lists its run was skipped.
+    @pytest.mark.parametrize('rest', [[], ['x'], [-1], [2**53], [1.5]])
+    def test_run_without_a_valid_number(self, rest: list[Any]) -> None:
+        rows = [[f'{KEY}.0.0.0', 1, '', 41, 7], [f'{KEY}.0.0.1', *rest]]
+        body = _to_json({'clockMs': 5, 'running': rows, 'finished': []})
+        with pytest.raises(UnreadableRun):
+            decode_view(body)
+
     def test_refusals(self) -> None:
         body = b'{"clockMs":1,"reason":"fence"}'
         assert decode_refusal(body) is Refusal.fenced
