Take a term for lost if endpoints can't read its tokens

Cause: the term is the upper part of each fencing token. From 2**29 on tokens exceed 63 bits; an endpoint that holds them in a signed 64-bit integer refuses all orders. An installation that has stored such a term stays there, and a single instance that tells it draws all others along, as the highest known term counts.

Evidence: test_unusable_term and test_term_out_of_range_is_not_followed failed before (a stored 2**30 is loaded and led in; a record of 5,000 digits ends the start with ValueError).

Change: MAX_TERM follows from the layout of tokens. A later term, on the disk or in a heartbeat, counts as unknown, with a log line where it was stored; a fenced dispatcher then finds the term that endpoints obey in steps that double. TestGrowingNumbers holds the last token below 2**63, and the last run number within what is read. Endpoints that have obeyed a token above that need a restart.

--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -79,7 +79,7 @@
             self._controls_back_at = now
         self._last_control_at = now
         self._control_leads = bool(beat.term)
-        self._highest_term = max(self._highest_term, beat.term)
+        self._learn_term(beat.term)
         if beat.term:
             self._is_deputy = self._own in beat.deputies
             self._entry_count = beat.entries
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -12,11 +12,12 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from cuminstack.core import InstanceId
 from cuminstack.fleet._messages import ControlBeat
+from cuminstack.pool import MAX_TERM
 
 #: Seconds without a heartbeat after which an instance counts as lost: a
 #: little more than three heartbeat intervals.
@@ -57,7 +58,8 @@
 
     Args:
         own: This instance.
-        highest_term: The highest term that was known before the start.
+        highest_term: The highest term that was known before the start; 0 if
+            there is none.
         now: The present time in seconds.
     """
 
@@ -72,7 +74,7 @@
         self._eligible_at = now + _STARTUP_SECONDS
         self._beats: dict[InstanceId, _ReceivedBeat] = {}
         self._leader_reports: dict[InstanceId, _LeaderReport] = {}
-        self._highest_term = highest_term
+        self._highest_term = _within_range(highest_term)
         self._term = 0
         self._term_began_at: float = 0
         self._candidate_since: float | None = None
@@ -125,8 +127,13 @@
         endpoints obey that term, and a new one begins at once.  Its sender may
         have resigned before its first heartbeat as a leader arrived here.
         """
+        beat = replace(
+            beat,
+            term=_within_range(beat.term),
+            resigned_term=_within_range(beat.resigned_term),
+        )
         self._beats[sender] = _ReceivedBeat(beat, now)
-        self._highest_term = max(self._highest_term, beat.term)
+        self._learn_term(beat.term)
         if self._term and beat.resigned_term >= self._term:
             self._begin_term(now)
 
@@ -140,7 +147,7 @@
     ) -> None:
         """Record the dispatcher that an entry reports, and its term."""
         self._leader_reports[entry] = _LeaderReport(leader, now)
-        self._highest_term = max(self._highest_term, term)
+        self._learn_term(term)
 
     def tick(
         self,
@@ -200,6 +207,9 @@
         self._resign()
         self._eligible_at = math.inf
 
+    def _learn_term(self, term: int) -> None:
+        self._highest_term = max(self._highest_term, _within_range(term))
+
     def _rivals(self, now: float) -> tuple[InstanceId, ...]:
         """Return the other live control instances that dispatch."""
         return tuple(
@@ -285,7 +295,7 @@
         self._step = step
         self._has_obeyed = False
         self._fenced_since = None
-        self._highest_term += step
+        self._highest_term = min(self._highest_term + step, MAX_TERM)
         self._term = self._highest_term
         self._term_began_at = now
 
@@ -293,3 +303,13 @@
         self._resigned_term = max(self._resigned_term, self._term)
         self._term = 0
         self._candidate_since = None
+
+
+def _within_range(term: int) -> int:
+    """Return a term, or 0 if endpoints can't read its tokens.
+
+    An instance of an earlier version may know such a term.  It is taken for
+    lost: if endpoints obey a later term than those that are known, a fenced
+    dispatcher finds it.
+    """
+    return term if term <= MAX_TERM else 0
--- a/src/cuminstack/pool/__init__.py
+++ b/src/cuminstack/pool/__init__.py
@@ -41,10 +41,12 @@
     Step,
     TaskKey,
 )
+from cuminstack.pool._tokens import MAX_TERM
 from cuminstack.pool._watch import LEASE_SECONDS
 
 __all__ = (
     'LEASE_SECONDS',
+    'MAX_TERM',
     'Dispatcher',
     'Effect',
     'Effects',
--- a/src/cuminstack/pool/_tokens.py
+++ b/src/cuminstack/pool/_tokens.py
@@ -3,10 +3,14 @@
 from typing import Final
 
 #: Bits of a token for the instance number and for the count within a term.
-#: With the term above them, a token stays below 2**53, which JSON represents
-#: exactly.
+#: Up to term 2**19 - 1, a token stays below 2**53, which all JSON parsers
+#: represent exactly.
 _INSTANCE_BITS: Final = 16
 _COUNT_BITS: Final = 18
+#: Bits of the largest token: it fits a signed 64-bit integer.
+_TOKEN_BITS: Final = 63
+#: The last term.
+MAX_TERM: Final = (1 << (_TOKEN_BITS - _COUNT_BITS - _INSTANCE_BITS)) - 1
 
 
 class TokenSource:
--- a/src/cuminstack/roles/_restart_state.py
+++ b/src/cuminstack/roles/_restart_state.py
@@ -14,12 +14,14 @@
 import msgspec
 
 from cuminstack.logs import log_event
-from cuminstack.pool import EndpointReport
+from cuminstack.pool import MAX_TERM, EndpointReport
 from cuminstack.settings import LogLevel
 from cuminstack.store import DurableFile, Loaded, Saved
 
 _TERM_FILE: Final = 'term'
 _ENDPOINTS_FILE: Final = 'endpoints'
+#: Longest record of a term that is read, in digits.
+_MAX_TERM_DIGITS: Final = 20
 
 
 class BackgroundFile:
@@ -69,9 +71,23 @@
         self._file = BackgroundFile(folder, name=_TERM_FILE)
 
     def load(self) -> int:
-        """Return the highest known term; 0 if none is saved or legible."""
+        """Return the highest known term; 0 if none that can be used is saved.
+
+        Earlier versions could save terms whose tokens endpoints can't read.
+        """
         record = self._file.load()
-        return int(record) if record.isdigit() else 0
+        if not record:
+            return 0
+        is_legible = record.isdigit() and len(record) <= _MAX_TERM_DIGITS
+        if is_legible and int(record) <= MAX_TERM:
+            return int(record)
+        log_event(
+            'memory.term_out_of_range',
+            LogLevel.error,
+            saved=record[:_MAX_TERM_DIGITS],
+            highest=MAX_TERM,
+        )
+        return 0
 
     def save_in_background(self, term: int) -> None:
         """Start to save the highest known term."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,8 @@
 from itertools import product
 from typing import Any
 
+import pytest
+
 from cuminstack.core import InstanceId, JobKey, Send
 from cuminstack.fleet import (
     Answered,
@@ -28,6 +30,7 @@
 )
 from cuminstack.fleet._dispatcher_client import LEADERLESS_SECONDS
 from cuminstack.pool import (
+    MAX_TERM,
     Dispatcher,
     JobRequest,
     JobState,
@@ -205,6 +208,27 @@
         # Each of them outranks the other at most once a second.
         assert 30 <= obeyed <= 62
 
+    # Guards against terms whose tokens no endpoint can read: an instance of an
+    # earlier version may still tell them.
+    @pytest.mark.parametrize('term', [MAX_TERM + 1, 2**300])
+    def test_term_out_of_range_is_not_followed(self, term: int) -> None:
+        election = _run_alone(ONE, highest_term=term)
+        beat = replace(_control_beat(term, leads=True), resigned_term=term)
+        for moment in range(1, 20):
+            now = 1 + moment / 50
+            election.receive_beat(TWO, beat, now=now)
+            election.record_leader_report(ENTRY, ONE, term=term, now=now)
+            election.tick(weight=3, now=now)
+        assert election.term == 1
+
+    def test_terms_end_at_the_last_one(self) -> None:
+        election = _run_alone(ONE, highest_term=MAX_TERM - 1)
+        election.receive_beat(
+            TWO, _control_beat(MAX_TERM, leads=True, weight=1), now=1
+        )
+        election.tick(weight=3, now=1)
+        assert election.term == MAX_TERM
+
     def test_lost_term_is_found_soon(self) -> None:
         election = _run_alone(ONE)
         lost_term = 1_000_000
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,7 +32,17 @@
     decode_refusal,
     decode_view,
 )
-from cuminstack.pool import EndKind, JobState, Refusal, Resources
+from cuminstack.pool import (
+    MAX_TERM,
+    EndKind,
+    JobState,
+    Refusal,
+    Resources,
+    find_order,
+)
+from cuminstack.pool._job_table import JobTable
+from cuminstack.pool._queue import JobQueue
+from cuminstack.pool._tokens import TokenSource
 
 ROUTE = MappingProxyType(
     {
@@ -213,6 +223,28 @@
         assert decode_refusal(b'nonsense') is Refusal.invalid
 
 
+class TestGrowingNumbers:
+    """Numbers that grow with each term stay in the range of each codec."""
+
+    # Guards against orders that endpoints can't read in a late term: most hold
+    # integers in 64 bits.
+    def test_last_token(self) -> None:
+        tokens = TokenSource(term=MAX_TERM, instance=2**16 - 1)
+        tokens._issued = 2**18 - 2
+        token = tokens.issue()
+        assert token == 2**63 - 1
+
+    # Guards against a run that is lost as its endpoint lists it.
+    def test_last_run_number(self) -> None:
+        queue = JobQueue(find_order('useful-first'))
+        last = JobTable(queue, term=MAX_TERM + 1)._first_number
+        rows = [[f'{KEY}.0.0.0', last, '', 41, 7]]
+        view = decode_view(
+            _to_json({'clockMs': 5, 'running': rows, 'finished': []})
+        )
+        assert view.running[0].run.number == last
+
+
 class TestDeployFile:
     """The deploy file agrees with the command line and the metrics path."""
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -238,6 +238,20 @@
 
         await until(is_saved, seconds=TIMEOUT_SECONDS)
 
+    # Guards against an installation that has stored a term whose tokens no
+    # endpoint can read, and serves nothing after the upgrade.
+    @pytest.mark.parametrize('record', [str(2**30), '9' * 5000, '-1', 'x'])
+    async def test_unusable_term(self, tmp_path: Path, record: str) -> None:
+        DurableFile(tmp_path, name='term').save(record.encode())
+        term_store = TermStore(tmp_path)
+        assert not term_store.load()
+        term_store.save_in_background(7)
+
+        async def is_replaced() -> bool:
+            return TermStore(tmp_path).load() == 7
+
+        await until(is_replaced, seconds=TIMEOUT_SECONDS)
+
     async def test_endpoints(self, tmp_path: Path) -> None:
         reports = (FakeWorker('w0', 16000, rate=1).report(),)
         EndpointStore(tmp_path).save_in_background(reports)
