Begin a later term before the tokens of a term run out

Cause: a token counts within its term in 18 bits, and nothing bounded the count. After 262,144 tokens, one for each voided order, restart or new endpoint, tokens reach those of the next term. The successor of such a dispatcher issues lower tokens in its term and is fenced by endpoints for as long as it takes to find a term above.

Change: once half of a term's tokens are issued, the dispatcher asks for a later term, which lists the runs of each endpoint and interrupts nothing.

--- a/src/cuminstack/fleet/_dispatcher_service.py
+++ b/src/cuminstack/fleet/_dispatcher_service.py
@@ -25,9 +25,10 @@
     StartRun,
     StopRun,
     Submission,
+    TokensLow,
 )
 
-Effect = Order | Send | LogEvent | Fenced
+Effect = Order | Send | LogEvent | Fenced | TokensLow
 Effects = tuple[Effect, ...]
 
 
@@ -180,7 +181,14 @@
                         effect.retry_after,
                     )
                     yield Send(effect.entry, refused)
-                case StartRun() | StopRun() | Hold() | LogEvent() | Fenced():
+                case (
+                    StartRun()
+                    | StopRun()
+                    | Hold()
+                    | LogEvent()
+                    | Fenced()
+                    | TokensLow()
+                ):
                     yield effect
 
     def _renew_lease(self, entry: InstanceId, stamp: float) -> None:
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -202,6 +202,11 @@
         elif now - self._fenced_since >= _FENCED_SECONDS:
             self._begin_term(now, step=self._next_step())
 
+    def renew_term(self, *, now: float) -> None:
+        """Begin a later term, as the tokens of the present one run low."""
+        if self._term:
+            self._begin_term(now)
+
     def leave(self) -> None:
         """Resign, and never lead again."""
         self._resign()
--- a/src/cuminstack/pool/__init__.py
+++ b/src/cuminstack/pool/__init__.py
@@ -10,6 +10,7 @@
     JobState,
     LogEvent,
     RefusalReason,
+    TokensLow,
 )
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._exchange import (
@@ -78,6 +79,7 @@
     'StopRun',
     'Submission',
     'TaskKey',
+    'TokensLow',
     'find_order',
     'order_names',
     'register_order',
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -14,6 +14,7 @@
     Fenced,
     JobEnded,
     JobState,
+    TokensLow,
 )
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._exchange import EndpointView, Hold, Refusal, StartRun
@@ -347,6 +348,8 @@
         late = self._lateness_monitor.tick(now=now)
         if self._lateness_monitor.is_behind != was_behind:
             effects.append(pace_event(self._lateness_monitor))
+        if self._watch.tokens.is_running_low:
+            effects.append(TokensLow())
         for endpoint in tuple(self._endpoints.values()):
             if late:
                 self._watch.discount_stall(endpoint, late, now=now)
--- a/src/cuminstack/pool/_effects.py
+++ b/src/cuminstack/pool/_effects.py
@@ -22,6 +22,11 @@
     has_obeyed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TokensLow:
+    """Few tokens are left in the term; a later one has to begin."""
+
+
 class JobState(enum.Enum):
     """Final state of a job."""
 
@@ -75,5 +80,14 @@
     values: tuple[tuple[str, Any], ...] = ()
 
 
-Effect = StartRun | StopRun | Hold | JobEnded | JobRefused | LogEvent | Fenced
+Effect = (
+    StartRun
+    | StopRun
+    | Hold
+    | JobEnded
+    | JobRefused
+    | LogEvent
+    | Fenced
+    | TokensLow
+)
 Effects = tuple[Effect, ...]
--- a/src/cuminstack/pool/_tokens.py
+++ b/src/cuminstack/pool/_tokens.py
@@ -26,6 +26,15 @@
         self._instance = instance % (1 << _INSTANCE_BITS)
         self._issued = 0
 
+    @property
+    def is_running_low(self) -> bool:
+        """Whether half of the tokens of the term are issued.
+
+        Further on, they would reach those of the next term, and a successor
+        would be fenced by them.
+        """
+        return self._issued >= 1 << (_COUNT_BITS - 1)
+
     def issue(self) -> int:
         """Return a token higher than all earlier ones."""
         self._issued += 1
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -30,6 +30,7 @@
     Started,
     StartRun,
     StopRun,
+    TokensLow,
     find_order,
 )
 from cuminstack.roles._batches import BatchSender
@@ -57,7 +58,7 @@
         queue_order: Name of the order in which waiting jobs are scheduled.
         session: Number that identifies this dispatcher's orders; unique.
         send: Sends a message to an instance.
-        on_fenced: Called when an endpoint obeys a later term.
+        on_term_event: Called with what may require a later term.
         work: Counts the orders and their answers.
         now: The present time.
     """
@@ -70,11 +71,11 @@
         queue_order: str,
         session: int,
         send: MessageSender,
-        on_fenced: Callable[[Fenced], None],
+        on_term_event: Callable[[Fenced | TokensLow], None],
         work: WorkLog,
         now: float,
     ) -> None:
-        self._on_fenced = on_fenced
+        self._on_term_event = on_term_event
         self._work = work
         self._term = term
         self._send = send
@@ -210,8 +211,8 @@
                     self._send(effect.to, effect.message)
                 case StartRun() | Hold() | StopRun():
                     self._issue(effect)
-                case Fenced():
-                    self._on_fenced(effect)
+                case Fenced() | TokensLow():
+                    self._on_term_event(effect)
                 case LogEvent():
                     log_event(
                         effect.event,
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -20,7 +20,7 @@
 )
 from cuminstack.links import Mesh
 from cuminstack.logs import log_event
-from cuminstack.pool import EndpointReport, Fenced
+from cuminstack.pool import EndpointReport, Fenced, TokensLow
 from cuminstack.roles._active_dispatcher import ActiveDispatcher
 from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._clock import TICK_SECONDS, steady_now
@@ -312,7 +312,7 @@
             queue_order=self._queue_order,
             session=secrets.randbits(_SESSION_BITS),
             send=self._mesh.send,
-            on_fenced=self._on_fenced,
+            on_term_event=self._on_term_event,
             work=self._work,
             now=now,
         )
@@ -328,10 +328,13 @@
         entries = set(self.connected_entries(now=now)) - {self._own}
         return choose_evenly_spaced(entries, most=_MAX_ENTRY_CARRIERS)
 
-    def _on_fenced(self, fenced: Fenced) -> None:
-        self._election.handle_fenced(
-            has_obeyed=fenced.has_obeyed, now=steady_now()
-        )
+    def _on_term_event(self, event: Fenced | TokensLow) -> None:
+        now = steady_now()
+        match event:
+            case Fenced(has_obeyed=has_obeyed):
+                self._election.handle_fenced(has_obeyed=has_obeyed, now=now)
+            case TokensLow():
+                self._election.renew_term(now=now)
 
     def _submit(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -221,6 +221,14 @@
             election.tick(weight=3, now=now)
         assert election.term == 1
 
+    def test_term_is_renewed_while_leading(self) -> None:
+        election = _run_alone(ONE)
+        election.renew_term(now=1)
+        assert election.term == 2
+        election.leave()
+        election.renew_term(now=1)
+        assert not election.term
+
     def test_terms_end_at_the_last_one(self) -> None:
         election = _run_alone(ONE, highest_term=MAX_TERM - 1)
         election.receive_beat(
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -12,6 +12,7 @@
     Hold,
     JobState,
     Refusal,
+    TokensLow,
     _assignment,
     order_names,
 )
@@ -20,6 +21,7 @@
 from cuminstack.pool._placement import find_endpoint
 from cuminstack.pool._queue import WaitingJob
 from cuminstack.pool._rooms import StartCandidates
+from cuminstack.pool._tokens import TokenSource
 
 
 def _submit_mix(world: PoolWorld, jobs: int, *, gap: float = 0.03) -> None:
@@ -369,6 +371,18 @@
         )
         assert effects == (Fenced(endpoint.report.endpoint, has_obeyed=False),)
 
+    # Guards against a successor that the tokens of an earlier term fence: a
+    # long term had issued so many that they reached those of the next one.
+    def test_term_ends_before_its_tokens_do(self) -> None:
+        world = PoolWorld(workers=1)
+        dispatcher = world.dispatcher
+        tokens = dispatcher._watch.tokens
+        while TokensLow() not in dispatcher.tick(now=world.now):
+            last = [tokens.issue() for _ in range(1000)][-1]
+        assert last < TokenSource(term=2, instance=0).issue()
+        dispatcher.begin_term(2, now=world.now)
+        assert TokensLow() not in dispatcher.tick(now=world.now)
+
     def test_unclaimed_tasks_expire(self) -> None:
         world = PoolWorld(workers=1)
         world.submit(JobPlan('a', 2, 3))
