Finish a change of replicas that was interrupted

Cause: replicas change in two ballots, and the second one was tried once, for a second, by the instance that had proposed the first. Once it had failed, as when a replica is frozen, nothing started it again until somebody called. So a lost disk kept its vote, and with the next lost disk two of three old replicas were gone, though only one was lost at a time.

Change: a value in force with an unfinished change is not settled, as one that has only been accepted. Every instance that knows it starts a ballot by itself after 0.5 to 1 s, and again until it is done, whoever began it. The ballot that follows at once stays, as it usually succeeds.

--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -45,8 +45,9 @@
 _RESEND_SECONDS: Final = 0.3
 #: Seconds after which an operation without a quorum ends as `Unavailable`.
 OPERATION_TIMEOUT_SECONDS: Final = 2.5
-#: Seconds until a ballot settles an accepted value that isn't known to be in
-#: force; meanwhile its proposer, or another instance, may report it.
+#: Seconds until a ballot settles a value that isn't known to be in force, or
+#: whose change of replicas is unfinished; meanwhile its proposer, or another
+#: instance, may do so.
 _SETTLE_SECONDS: Final = 0.5
 #: Longest random addition to that, so that instances which restart together
 #: don't compete.
@@ -93,8 +94,7 @@
         self._ballot_run: BallotRun | None = None
         self._resend_at: float = 0
         self._next_ballot_at: float = 0
-        # The newest value if it isn't known to be in force, and when to settle
-        # it.
+        # The newest value if it isn't settled, and when to settle it.
         self._unsettled_ballot = NO_BALLOT
         self._settle_at: float = 0
 
@@ -233,21 +233,30 @@
         return self._ballot_run.pending_requests()
 
     def _settle(self, now: float) -> None:
-        """Read the value in force if a newer one has been accepted here.
+        """Start a ballot unless the newest value here is settled.
 
-        After a restart of all instances no other one can report it, and the
-        proposer of a value may be lost before it reports the outcome.
+        A value that has only been accepted may or may not be in force.  After
+        a restart of all instances no other one can report it, and its proposer
+        may be lost before it reports the outcome.
+
+        A value in force whose change of replicas is unfinished needs a further
+        ballot.  The instance that joins starts one at once, but may be lost or
+        get no quorum.  Until then the replaced replica keeps its vote, though
+        its disk may be lost.
         """
         newest = self._newest_value
-        if newest.in_force:
+        if newest.in_force and not newest.value.incoming:
             self._unsettled_ballot = NO_BALLOT
         elif newest.ballot != self._unsettled_ballot:
             self._unsettled_ballot = newest.ballot
             jitter = _SETTLE_JITTER_SECONDS * self._random_source.random()
             self._settle_at = now + _SETTLE_SECONDS + jitter
         elif now >= self._settle_at and not self._operations:
-            deadline = now + OPERATION_TIMEOUT_SECONDS
-            self._operations.append(Operation(_NO_TICKET, Change(), deadline))
+            self._add_settling(now)
+
+    def _add_settling(self, now: float) -> None:
+        deadline = now + OPERATION_TIMEOUT_SECONDS
+        self._operations.append(Operation(_NO_TICKET, Change(), deadline))
 
     def _expire(self, now: float) -> Iterable[Effect]:
         expired = [each for each in self._operations if now >= each.deadline]
@@ -332,9 +341,9 @@
         effects: list[Effect] = list(self._learn(outcome))
         effects.extend(self._finish_operations(run.change))
         # A further ballot is needed before the incoming replica set votes
-        # alone.
+        # alone; `_settle` repeats it if it fails.
         if outcome.value.incoming and not self._operations:
-            self._operations.append(Operation(_NO_TICKET, Change(), now + 1))
+            self._add_settling(now)
         effects.extend(self._start_ballot(now))
         return tuple(effects)
 
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -107,6 +107,44 @@
         assert isinstance(outcome, InForce)
         assert outcome.value.body == b'four'
 
+    # Guards against a value that is lost with a second disk: a replica was
+    # frozen as another one joined, so a lost disk kept its vote for good.
+    def test_change_of_replicas_is_finished(self) -> None:
+        world = DocumentWorld()
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        _join_until_both_vote(world, FIRST, disk=50)
+        world.down.add(THIRD)
+        world.run_for(1.6)
+        world.down.discard(THIRD)
+        world.run_for(3)
+        replicas = (
+            Replica(FIRST, DiskId(50)),
+            Replica(SECOND, FIRST_DISK),
+            Replica(THIRD, FIRST_DISK),
+        )
+        for document in world.documents.values():
+            assert document.in_force.replicas == replicas
+            assert not document.in_force.incoming
+
+    # Guards against the same where the joining instance is lost, too, or all
+    # of them restart: nobody remembers that it has to finish the change.
+    @pytest.mark.parametrize('restarted', ['a', 'abc'])
+    def test_change_is_finished_after_restarts(self, restarted: str) -> None:
+        world = DocumentWorld()
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        _join_until_both_vote(world, FIRST, disk=50)
+        for name in restarted:
+            world.stop(InstanceId(name))
+        world.run_for(0.5)
+        if restarted == 'abc':
+            for name in restarted:
+                world.boot(InstanceId(name))
+        world.run_for(3)
+        assert not world.documents[SECOND].in_force.incoming
+        assert not world.documents[THIRD].in_force.incoming
+
     def test_settled_instances_start_no_ballots(self) -> None:
         world = DocumentWorld()
         world.submit('a', 4, b'four')
@@ -204,6 +242,25 @@
         world.boot(name)
 
 
+def _join_until_both_vote(
+    world: DocumentWorld, name: InstanceId, *, disk: int
+) -> None:
+    """Have an instance join with an empty disk, until the first step is done.
+
+    Then the replicas before and after the change both vote, and all instances
+    know it.
+    """
+    chosen = world.documents[SECOND].chosen
+    world.wipe(name, disk)
+    world.perform(name, world.documents[name].learn(chosen))
+    world.join(str(name), Replica(name, FIRST_DISK))
+    while not world.documents[name].in_force.incoming:
+        world.run_for(0.02)
+    chosen = world.documents[name].chosen
+    for other, document in world.documents.items():
+        world.perform(other, document.learn(chosen))
+
+
 def _inject_fault(world: DocumentWorld, disk: int) -> int:
     """Cut one link, stop or wipe one instance, or undo such faults.
 
