Let entries end the rivalry of dispatchers that can't hear each other

Cause: an entry follows its dispatcher while that is live, and says only whom it follows. The entries of the cut zone hear both dispatchers, but neither learns of the other, so each takes the other's term for one of a dispatcher that is gone.

Change: entries report other live dispatchers that they hear, with term and reach. A dispatcher resigns if most entries that could follow it hear one out of its touch that has a later term and reaches more instances, and doesn't stand again until reports of lost entries have expired.

test_outreached_leader_resigns, test_outreached_instance_does_not_lead and test_other_live_dispatchers_are_reported failed before (no such report).

--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -10,11 +10,7 @@
 from typing import Final
 
 from cuminstack.core import InstanceId
-from cuminstack.fleet._election import (
-    HEARTBEAT_TIMEOUT_SECONDS,
-    LEADER_REPORT_SECONDS,
-    Election,
-)
+from cuminstack.fleet._election import HEARTBEAT_TIMEOUT_SECONDS, Election
 from cuminstack.fleet._messages import LeaderBeat
 
 #: Deputies of a deployment whose zones aren't divided.  One of them is enough;
@@ -129,9 +125,6 @@
         return not (is_back or self._control_leads)
 
     def _reaches_half_of_entries(self, now: float) -> bool:
-        recent = sum(
-            now - report.received_at < LEADER_REPORT_SECONDS
-            for report in self._leader_reports.values()
-        )
+        recent = len(self._recent_reports(now))
         # This instance is an entry, too.
         return 2 * (recent + 1) >= self._entry_count
--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -22,6 +22,7 @@
     Dropped,
     Ended,
     EntryBeat,
+    HeardDispatcher,
     LeaderBeat,
     Refused,
     Taken,
@@ -87,6 +88,7 @@
         self._term = 0
         self._leader_was_rival = False
         self._rivals: set[InstanceId] = set()
+        self._heard: dict[InstanceId, tuple[HeardDispatcher, float]] = {}
         self._last_beat_at = now
         self._stamps: dict[InstanceId, float] = {}
         self._answers_until = math.inf
@@ -196,6 +198,7 @@
             term=self._term,
             zone=self._zone,
             capacity=self._capacity,
+            heard=self._heard_dispatchers(now),
         )
 
     def receive_leader_beat(
@@ -211,6 +214,7 @@
         live dispatcher.
         """
         self._stamps[sender] = beat.stamp
+        self._record_heard(sender, beat, now)
         if sender == self._leader:
             return self._receive_own_leader(beat, now)
         if not beat.term:
@@ -224,6 +228,25 @@
         self._last_beat_at = now
         return effects
 
+    def _record_heard(
+        self, sender: InstanceId, beat: LeaderBeat, now: float
+    ) -> None:
+        # Several deputies dispatch at once, each for its own zones.
+        if beat.term and not beat.from_deputy:
+            heard = HeardDispatcher(sender, beat.term, beat.reach)
+            self._heard[sender] = (heard, now)
+        else:
+            self._heard.pop(sender, None)
+
+    def _heard_dispatchers(self, now: float) -> tuple[HeardDispatcher, ...]:
+        """Return the live dispatchers that this entry doesn't follow."""
+        return tuple(
+            heard
+            for name, (heard, heard_at) in self._heard.items()
+            if name != self._leader
+            and now - heard_at < HEARTBEAT_TIMEOUT_SECONDS
+        )
+
     def _receive_own_leader(self, beat: LeaderBeat, now: float) -> Effects:
         was_resigned = self._has_resigned
         self._has_resigned = not beat.term
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -12,11 +12,12 @@
 """
 
 import math
+from collections import Counter
 from dataclasses import dataclass, replace
 from typing import Final
 
 from cuminstack.core import InstanceId
-from cuminstack.fleet._messages import ControlBeat
+from cuminstack.fleet._messages import ControlBeat, HeardDispatcher
 from cuminstack.pool import MAX_TERM
 
 #: Seconds without a heartbeat after which an instance counts as lost: a
@@ -36,7 +37,10 @@
 _CANDIDACY_SECONDS: Final = 0.1
 #: Seconds for which an entry's report of its dispatcher is valid; entries
 #: report twice in that time.
-LEADER_REPORT_SECONDS: Final = 1.0
+_LEADER_REPORT_SECONDS: Final = 1.0
+#: Seconds for which an entry that reports counts as in touch.  It reports twice
+#: a second if it follows another dispatcher.
+_IN_TOUCH_SECONDS: Final = 0.6
 #: Seconds after the start of a term in which entries may not know it yet.
 _NEW_TERM_SECONDS: Final = 1.0
 
@@ -51,6 +55,7 @@
 class _LeaderReport:
     leader: InstanceId | None
     received_at: float
+    heard: tuple[HeardDispatcher, ...]
 
 
 class Election:
@@ -137,17 +142,35 @@
         if self._term and beat.resigned_term >= self._term:
             self._begin_term(now)
 
+    def reach(self, *, now: float) -> int:
+        """Return the number of instances that this one is in touch with.
+
+        Unlike the weight, it includes entries that follow another dispatcher.
+        """
+        entries = self._recent_reports(now, seconds=_IN_TOUCH_SECONDS)
+        return len(entries) + len(self.live(now=now))
+
     def record_leader_report(
         self,
         entry: InstanceId,
         leader: InstanceId | None,
         *,
         term: int = 0,
+        heard: tuple[HeardDispatcher, ...] = (),
         now: float,
     ) -> None:
-        """Record the dispatcher that an entry reports, and its term."""
-        self._leader_reports[entry] = _LeaderReport(leader, now)
-        self._learn_term(term)
+        """Record the dispatcher that an entry reports.
+
+        Args:
+            entry: The entry.
+            leader: The dispatcher that it follows, if any.
+            term: The term of that dispatcher.
+            heard: Other dispatchers that the entry hears.
+            now: The present time in seconds.
+        """
+        self._leader_reports[entry] = _LeaderReport(leader, now, heard)
+        for known_term in (term, *(each.term for each in heard)):
+            self._learn_term(known_term)
 
     def tick(
         self,
@@ -177,6 +200,7 @@
             rivals
             or not self._is_first_candidate(now)
             or self._most_follow_another(now)
+            or self._is_outreached(now)
         ):
             self._candidate_since = None
         else:
@@ -238,6 +262,11 @@
         if not is_new and self._most_follow_another(now):
             self._resign()
             return
+        if self._is_outreached(now):
+            self._resign()
+            # Entries out of touch still seem to follow this instance.
+            self._eligible_at = now + _LEADER_REPORT_SECONDS
+            return
         for rival in rivals:
             beat = self._beats[rival].beat
             if (beat.weight, rival) > (weight, self._own):
@@ -246,13 +275,45 @@
             if beat.term >= self._term:
                 self._begin_term(now)
 
+    def _recent_reports(
+        self, now: float, *, seconds: float = _LEADER_REPORT_SECONDS
+    ) -> tuple[_LeaderReport, ...]:
+        return tuple(
+            report
+            for report in self._leader_reports.values()
+            if now - report.received_at < seconds
+        )
+
     def _has_followers(self, now: float) -> bool:
         """Return whether an entry in touch reports this dispatcher."""
         return any(
-            report.leader == self._own
-            and now - report.received_at < LEADER_REPORT_SECONDS
-            for report in self._leader_reports.values()
+            report.leader == self._own for report in self._recent_reports(now)
+        )
+
+    def _is_outreached(self, now: float) -> bool:
+        """Return whether a rival out of reach can serve this one's entries.
+
+        Only entries connect the two.  If most of those that don't follow
+        another dispatcher hear one that endpoints obey already, as its term is
+        later, and that is in touch with more instances, they lose nothing by
+        following it.  Otherwise the two would take the endpoints from each
+        other until they can talk again.
+        """
+        reports = self._recent_reports(now, seconds=_IN_TOUCH_SECONDS)
+        entries = [
+            report for report in reports if not self._is_another(report.leader)
+        ]
+        own = (self.reach(now=now), self._own)
+        live = self.live(now=now)
+        votes = Counter(
+            heard.name
+            for report in entries
+            for heard in report.heard
+            if heard.name not in live
+            and heard.term > self._term
+            and (heard.reach, heard.name) > own
         )
+        return any(2 * count > len(entries) for count in votes.values())
 
     def _most_follow_another(self, now: float) -> bool:
         """Return whether most entries in touch report another dispatcher.
@@ -260,11 +321,7 @@
         Entries that report none count for this instance, and so do those that
         report a deputy if this instance relieves deputies.
         """
-        leaders = [
-            report.leader
-            for report in self._leader_reports.values()
-            if now - report.received_at < LEADER_REPORT_SECONDS
-        ]
+        leaders = [report.leader for report in self._recent_reports(now)]
         followers = sum(not self._is_another(leader) for leader in leaders)
         return len(leaders) - followers > followers
 
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -40,6 +40,21 @@
     resigned_term: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HeardDispatcher:
+    """A dispatcher that an entry hears beside the one that it follows.
+
+    Args:
+        name: Its instance.
+        term: Its term.
+        reach: Number of instances that it is in touch with.
+    """
+
+    name: InstanceId
+    term: int
+    reach: int
+
+
 @message('fleet.leader_beat')
 @dataclass(frozen=True, slots=True)
 class LeaderBeat:
@@ -56,6 +71,8 @@
         from_deputy: Whether the sender is one of the deputies.
         zones: Availability zones of the endpoints that those deputies have;
             empty for all.
+        reach: Number of control instances and entries that the sender is in
+            touch with, whichever dispatcher they follow.
     """
 
     term: int
@@ -66,6 +83,7 @@
     entries: int = 0
     from_deputy: bool = False
     zones: tuple[ZoneName, ...] = ()
+    reach: int = 0
 
 
 @message('fleet.entry_beat')
@@ -84,6 +102,7 @@
         zone: Availability zone of the entry.
         capacity: Number of endpoints that the entry can dispatch for; 0 if it
             isn't known.
+        heard: Other control instances that dispatch and that the entry hears.
     """
 
     stamp: float
@@ -93,6 +112,7 @@
     term: int = 0
     zone: ZoneName = ZoneName('')
     capacity: int = 0
+    heard: tuple[HeardDispatcher, ...] = ()
 
 
 @message('fleet.submit')
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -369,6 +369,7 @@
             sender,
             beat.leader,
             term=beat.term,
+            heard=beat.heard,
             now=now,
         )
         if self._dispatcher is not None:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -270,6 +270,7 @@
             stamp=now,
             controls=self._known_controls(now),
             waiting=self._candidate.waiting,
+            reach=self._election.reach(now=now),
         )
         for shard, entries in receivers.items():
             shard_beat = replace(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,7 @@
     Ended,
     EntryBeat,
     Failure,
+    HeardDispatcher,
     LeaderBeat,
     MayHaveRun,
     NotRun,
@@ -208,6 +209,60 @@
         # Each of them outranks the other at most once a second.
         assert 30 <= obeyed <= 62
 
+    # Guards against two dispatchers that take the endpoints from each other for
+    # as long as they can't talk, though entries hear both.
+    @pytest.mark.parametrize(
+        ('change', 'leads'),
+        [
+            ({}, False),
+            ({'reach': 3}, False),
+            ({'reach': 2}, True),
+            ({'term': 1}, True),
+        ],
+    )
+    def test_outreached_leader_resigns(
+        self, change: dict[str, Any], leads: bool
+    ) -> None:
+        election = _run_alone(ONE)
+        heard = replace(HeardDispatcher(TWO, term=2, reach=9), **change)
+        for entry in ENTRIES[:3]:
+            election.record_leader_report(entry, ONE, heard=(heard,), now=1)
+        election.tick(weight=3, now=1)
+        assert bool(election.term) is leads
+        assert election.highest_term == max(1, heard.term)
+
+    # Guards against entries without a dispatcher: only some of them hear the
+    # other one.
+    def test_leader_that_only_few_could_leave_is_kept(self) -> None:
+        election = _run_alone(ONE)
+        heard = HeardDispatcher(TWO, term=2, reach=9)
+        for entry in ENTRIES[:4]:
+            election.record_leader_report(entry, ONE, now=1)
+        for entry in ENTRIES[:2]:
+            election.record_leader_report(entry, ONE, heard=(heard,), now=1)
+        election.tick(weight=3, now=1)
+        assert election.term
+
+    # Guards against a dispatcher that has resigned and leads again before its
+    # entries follow the other one.
+    def test_outreached_instance_does_not_lead(self) -> None:
+        election = Election(ONE, now=0)
+        heard = HeardDispatcher(TWO, term=2, reach=9)
+        for moment in range(100):
+            now = moment / 50
+            election.record_leader_report(ENTRY, None, heard=(heard,), now=now)
+            election.tick(weight=1, now=now)
+        assert not election.term
+
+    def test_rival_in_touch_is_weighed_directly(self) -> None:
+        election = _run_alone(ONE)
+        heard = HeardDispatcher(TWO, term=2, reach=9)
+        election.record_leader_report(ENTRY, ONE, heard=(heard,), now=1)
+        beat = _control_beat(2, leads=True, weight=1)
+        election.receive_beat(TWO, beat, now=1)
+        election.tick(weight=3, now=1)
+        assert election.term == 3
+
     # Guards against terms whose tokens no endpoint can read: an instance of an
     # earlier version may still tell them.
     @pytest.mark.parametrize('term', [MAX_TERM + 1, 2**300])
@@ -446,6 +501,20 @@
 
     # Guards against jobs that wait after a planned hand-over as long as after
     # the silence of a dispatcher, which may order runs for a while.
+    # Guards against a dispatcher that can't know of a rival that its entries
+    # hear.
+    def test_other_live_dispatchers_are_reported(self) -> None:
+        client = self._client()
+        other = LeaderBeat(2, 5, (), {}, reach=9)
+        client.receive_leader_beat(TWO, other, now=0.1)
+        deputy = LeaderBeat(3, 5, (), {}, from_deputy=True)
+        client.receive_leader_beat(ENTRY, deputy, now=0.1)
+        beat = client.make_beat(ONE, version=1, now=0.2)
+        assert beat.heard == (HeardDispatcher(TWO, 2, 9),)
+        assert not client.make_beat(ONE, version=1, now=0.5).heard
+        client.receive_leader_beat(TWO, replace(other, term=0), now=0.6)
+        assert not client.make_beat(ONE, version=1, now=0.6).heard
+
     def test_runs_of_a_resigned_leader_expire_earlier(self) -> None:
         client = self._client()
         self._submit(client)
