Outrank a rival only after endpoints obeyed it for a second

Cause: a dispatcher begins a later term once it has been fenced for a second. The second was counted from the first refusal ever, however long ago, and refusals of orders of a term that had just ended started it anew.

On the code before, refusals at 2, 2.5 and 9 s give term 3 at 9 s, and one at 3.01 s, right after the term began at 3 s, another term at 4.1 s (test_fencing_has_to_last, test_refusals_of_an_ended_term_are_ignored).

Change: a refusal names its term and counts for that term only, and the second begins anew after a pause that is longer than the interval between orders to an endpoint that refuses them.

--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -29,6 +29,9 @@
 #: instance begins a term above it.  If the dispatcher of that term is
 #: reachable, its heartbeat arrives well before.
 _FENCED_SECONDS: Final = 1.0
+#: Seconds without a refusal after which endpoints no longer obey a later term:
+#: longer than the interval between orders to one that refuses them.
+_FENCED_GAP_SECONDS: Final = 2.5
 #: Terms by which to outrank a rival that is out of reach.  Its term is usually
 #: one above this dispatcher's; equal terms would leave the endpoints divided.
 _RIVAL_STEP: Final = 2
@@ -85,6 +88,7 @@
         self._candidate_since: float | None = None
         self._ticked_at = now
         self._fenced_since: float | None = None
+        self._fenced_at = now
         self._has_obeyed = False
         self._step = 1
         self._relieves_deputies = False
@@ -206,7 +210,7 @@
         else:
             self._advance_candidacy(now)
 
-    def handle_fenced(self, *, has_obeyed: bool, now: float) -> None:
+    def handle_fenced(self, term: int, *, has_obeyed: bool, now: float) -> None:
         """Handle that an endpoint obeys a later term than any known one.
 
         The dispatcher of that term is unreachable, or its stored term was
@@ -214,21 +218,27 @@
         entry in touch follows this dispatcher and no rival is known.
 
         Args:
-            has_obeyed: Whether the endpoint obeyed the present term before.
+            term: Term of the refused order.
+            has_obeyed: Whether the endpoint obeyed that term before.
             now: The present time in seconds.
         """
-        if not self._term or self._rivals(now) or not self._has_followers(now):
+        if term != self._term:
+            # Several endpoints refuse the orders of a term that has ended.
+            return
+        if self._rivals(now) or not self._has_followers(now):
             self._fenced_since = None
             return
         self._has_obeyed = self._has_obeyed or has_obeyed
-        if self._fenced_since is None:
+        is_new = now - self._fenced_at > _FENCED_GAP_SECONDS
+        self._fenced_at = now
+        if self._fenced_since is None or is_new:
             self._fenced_since = now
         elif now - self._fenced_since >= _FENCED_SECONDS:
             self._begin_term(now, step=self._next_step())
 
-    def renew_term(self, *, now: float) -> None:
-        """Begin a later term, as the tokens of the present one run low."""
-        if self._term:
+    def renew_term(self, term: int, *, now: float) -> None:
+        """Begin a later term if this is the term in which tokens run low."""
+        if self._term and term == self._term:
             self._begin_term(now)
 
     def leave(self) -> None:
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -293,7 +293,13 @@
         if order.token != endpoint.token:
             return ()
         if refusal is Refusal.fenced:
-            return (Fenced(order.endpoint, endpoint.has_joined),)
+            return (
+                Fenced(
+                    order.endpoint,
+                    self._watch.tokens.term,
+                    endpoint.has_joined,
+                ),
+            )
         if endpoint.phase is not Phase.ready:
             return ()
         return tuple(self._watch.void(endpoint, refusal.value, now=now))
@@ -349,7 +355,7 @@
         if self._lateness_monitor.is_behind != was_behind:
             effects.append(pace_event(self._lateness_monitor))
         if self._watch.tokens.is_running_low:
-            effects.append(TokensLow())
+            effects.append(TokensLow(self._watch.tokens.term))
         for endpoint in tuple(self._endpoints.values()):
             if late:
                 self._watch.discount_stall(endpoint, late, now=now)
--- a/src/cuminstack/pool/_effects.py
+++ b/src/cuminstack/pool/_effects.py
@@ -14,17 +14,21 @@
 
     Args:
         endpoint: The endpoint.
+        term: Term of this dispatcher.
         has_obeyed: Whether it obeyed this dispatcher earlier in its term, so
             that another one has issued the newer token since.
     """
 
     endpoint: EndpointId
+    term: int
     has_obeyed: bool
 
 
 @dataclass(frozen=True, slots=True)
 class TokensLow:
-    """Few tokens are left in the term; a later one has to begin."""
+    """Few tokens are left in a term; a later one has to begin."""
+
+    term: int
 
 
 class JobState(enum.Enum):
--- a/src/cuminstack/pool/_tokens.py
+++ b/src/cuminstack/pool/_tokens.py
@@ -26,6 +26,11 @@
         self._instance = instance % (1 << _INSTANCE_BITS)
         self._issued = 0
 
+    @property
+    def term(self) -> int:
+        """Number of the term."""
+        return self._term
+
     @property
     def is_running_low(self) -> bool:
         """Whether half of the tokens of the term are issued.
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -331,10 +331,12 @@
     def _on_term_event(self, event: Fenced | TokensLow) -> None:
         now = steady_now()
         match event:
-            case Fenced(has_obeyed=has_obeyed):
-                self._election.handle_fenced(has_obeyed=has_obeyed, now=now)
+            case Fenced():
+                self._election.handle_fenced(
+                    event.term, has_obeyed=event.has_obeyed, now=now
+                )
             case TokensLow():
-                self._election.renew_term(now=now)
+                self._election.renew_term(event.term, now=now)
 
     def _submit(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -186,11 +186,11 @@
     def test_fenced_leader_begins_later_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, ONE, now=2)
-        election.handle_fenced(has_obeyed=False, now=2)
+        election.handle_fenced(1, has_obeyed=False, now=2)
         election.record_leader_report(ENTRY, ONE, now=2.5)
-        election.handle_fenced(has_obeyed=False, now=2.5)
+        election.handle_fenced(1, has_obeyed=False, now=2.5)
         assert election.term == 1
-        election.handle_fenced(has_obeyed=False, now=3)
+        election.handle_fenced(1, has_obeyed=False, now=3)
         assert election.term > 1
 
     # Guards against run numbers and tokens that leave their range: while two
@@ -205,7 +205,9 @@
                 if election.term >= obeyed:
                     obeyed = election.term
                 else:
-                    election.handle_fenced(has_obeyed=True, now=now)
+                    election.handle_fenced(
+                        election.term, has_obeyed=True, now=now
+                    )
         # Each of them outranks the other at most once a second.
         assert 30 <= obeyed <= 62
 
@@ -278,10 +280,12 @@
 
     def test_term_is_renewed_while_leading(self) -> None:
         election = _run_alone(ONE)
-        election.renew_term(now=1)
+        election.renew_term(1, now=1)
+        assert election.term == 2
+        election.renew_term(1, now=1)
         assert election.term == 2
         election.leave()
-        election.renew_term(now=1)
+        election.renew_term(0, now=1)
         assert not election.term
 
     def test_terms_end_at_the_last_one(self) -> None:
@@ -298,16 +302,39 @@
         for moment in range(10, 250):
             election.record_leader_report(ENTRY, ONE, now=moment / 10)
             if election.term <= lost_term:
-                election.handle_fenced(has_obeyed=False, now=moment / 10)
+                election.handle_fenced(
+                    election.term, has_obeyed=False, now=moment / 10
+                )
         assert lost_term < election.term < 3 * lost_term
 
+    # Guards against a dispatcher that outranks its successor at once, as an
+    # endpoint had refused an order long before.
+    def test_fencing_has_to_last(self) -> None:
+        election = _run_alone(ONE)
+        for now in (2, 2.5, 9, 9.5):
+            election.record_leader_report(ENTRY, ONE, now=now)
+            election.handle_fenced(1, has_obeyed=True, now=now)
+        assert election.term == 1
+
+    # Guards against a second term right after the first one, by refusals that
+    # endpoints had sent before it began.
+    def test_refusals_of_an_ended_term_are_ignored(self) -> None:
+        election = _run_alone(ONE)
+        for now in (2, 2.5, 3, 3.01, 4.1):
+            election.record_leader_report(ENTRY, ONE, now=now)
+            election.handle_fenced(1, has_obeyed=True, now=now)
+        term = election.term
+        assert term > 1
+        election.handle_fenced(term, has_obeyed=True, now=4.2)
+        assert election.term == term
+
     # Guards against a dispatcher that no entry follows and that takes
     # endpoints away from the one that entries have.
     def test_leader_without_entries_begins_no_term(self) -> None:
         election = _run_alone(ONE)
         election.record_leader_report(ENTRY, TWO, now=2)
         for moment in range(20, 50):
-            election.handle_fenced(has_obeyed=False, now=moment / 10)
+            election.handle_fenced(1, has_obeyed=False, now=moment / 10)
         assert election.term == 1
 
     def test_term_that_an_entry_reports_is_recorded(self) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -357,7 +357,13 @@
         endpoint = dispatcher.endpoints[0]
         hold = dispatcher._watch.request_listing(endpoint, now=world.now)
         effects = dispatcher.hold_refused(hold, Refusal.fenced, now=world.now)
-        assert effects == (Fenced(endpoint.report.endpoint, has_obeyed=True),)
+        assert effects == (
+            Fenced(
+                endpoint.report.endpoint,
+                term=1,
+                has_obeyed=True,
+            ),
+        )
 
     def test_fenced_dispatcher_was_never_obeyed(self) -> None:
         world = PoolWorld(workers=1)
@@ -369,7 +375,13 @@
         effects = dispatcher.hold_refused(
             endpoint.hold, Refusal.fenced, now=world.now
         )
-        assert effects == (Fenced(endpoint.report.endpoint, has_obeyed=False),)
+        assert effects == (
+            Fenced(
+                endpoint.report.endpoint,
+                term=2,
+                has_obeyed=False,
+            ),
+        )
 
     # Guards against a successor that the tokens of an earlier term fence: a
     # long term had issued so many that they reached those of the next one.
@@ -377,11 +389,11 @@
         world = PoolWorld(workers=1)
         dispatcher = world.dispatcher
         tokens = dispatcher._watch.tokens
-        while TokensLow() not in dispatcher.tick(now=world.now):
+        while TokensLow(1) not in dispatcher.tick(now=world.now):
             last = [tokens.issue() for _ in range(1000)][-1]
         assert last < TokenSource(term=2, instance=0).issue()
         dispatcher.begin_term(2, now=world.now)
-        assert TokensLow() not in dispatcher.tick(now=world.now)
+        assert TokensLow(2) not in dispatcher.tick(now=world.now)
 
     def test_unclaimed_tasks_expire(self) -> None:
         world = PoolWorld(workers=1)
