Discard what a silent link still holds when it is given up

Cause: a link whose ping gets no answer is aborted, but closing a socket leaves its unacknowledged bytes to the kernel, which sends them once the network is back, after newer messages on the next link. A heartbeat of a dispatcher that had long resigned counted as one of a live rival.

Change: such a link is reset (SO_LINGER of 0 s), so the kernel discards them. test_nothing_is_delivered_after_a_reset failed without the option.

--- a/src/cuminstack/links/_keepalive.py
+++ b/src/cuminstack/links/_keepalive.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Final
@@ -16,6 +18,24 @@
 _MIN_FRAMES_IN_USE: Final = 3
 #: Intervals without a ping after which a link that isn't in use gets one.
 _IDLE_INTERVALS: Final = 4
+#: Value of `SO_LINGER` with which a socket is reset when it is closed.
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
+
+
+def reset(connection: ClientConnection) -> None:
+    """Abort a connection, and discard what its peer hasn't acknowledged.
+
+    Otherwise the kernel goes on to send it, and the peer may receive it after
+    a network partition, seconds later than newer messages on another link.
+    """
+    transport = connection.transport
+    connected_socket = transport.get_extra_info('socket')
+    if connected_socket is not None:
+        with suppress(OSError):
+            connected_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+    transport.abort()
 
 
 async def keep_alive(
@@ -50,4 +70,4 @@
             async with asyncio.timeout(seconds):
                 await answered
         except TimeoutError:
-            connection.transport.abort()
+            reset(connection)
--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -21,7 +21,7 @@
 from cuminstack import wire
 from cuminstack.core import InstanceId
 from cuminstack.links._deflate import ClientDeflate, server_deflate
-from cuminstack.links._keepalive import keep_alive
+from cuminstack.links._keepalive import keep_alive, reset
 from cuminstack.settings import Address
 
 #: Largest number of frames queued for a link; the oldest are dropped.
@@ -115,7 +115,7 @@
     def reset(self) -> None:
         """Abort the connection, so that a new one is dialled at once."""
         if self._connection is not None:
-            self._connection.transport.abort()
+            reset(self._connection)
 
     async def run(self) -> None:
         """Keep the link open until cancelled."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,15 +4,17 @@
 import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from bench._polling import until
 from bench._ports import LOOPBACK, free_ports
+from websockets.asyncio.client import ClientConnection
 
 from cuminstack import wire
 from cuminstack.core import InstanceId, JobKey
 from cuminstack.fleet import EntryBeat
+from cuminstack.links._keepalive import reset
 from cuminstack.links._links import Hello, PeerLink, PeerListener
 from cuminstack.settings import Address
 
@@ -21,6 +23,7 @@
 BEATS = 50
 JOBS = 40
 TIMEOUT_SECONDS = 30
+MEGABYTE = 1 << 20
 
 
 class _Link:
@@ -95,3 +98,28 @@
         assert link.received == beats
         uncompressed = b''.join(map(wire.encode, beats))
         assert link.sent_bytes < len(uncompressed) / 2
+
+
+class TestReset:
+    """Links that have gone silent."""
+
+    # Guards against a dispatcher that resigns seconds after a partition has
+    # healed, as a heartbeat that was held up arrived on a link given up before.
+    async def test_nothing_is_delivered_after_a_reset(self) -> None:
+        readers: asyncio.Queue[asyncio.StreamReader] = asyncio.Queue()
+
+        async def accept(
+            reader: asyncio.StreamReader, _: asyncio.StreamWriter
+        ) -> None:
+            await readers.put(reader)
+
+        server = await asyncio.start_server(accept, '127.0.0.1')
+        async with server:
+            address = server.sockets[0].getsockname()
+            _, writer = await asyncio.open_connection(*address)
+            reader = await readers.get()
+            # More than the buffers of both ends hold, as the peer doesn't read.
+            writer.write(bytes(32 * MEGABYTE))
+            reset(cast(ClientConnection, writer))
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
