--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -358,8 +358,7 @@
 
         Endpoints that have obeyed the present term now obey a rival that is
         live, whose term is close.  Otherwise the term that they obey may have
-        been lost with all stored state.  Steps that double find it soon, and
-        don't add up while two dispatchers outrank each other in turn.
+        been lost with all stored state, and steps that double find it soon.
         """
         return _RIVAL_STEP if self._has_obeyed else 2 * self._step
 
