--- a/src/cuminstack/fleet/_deputies.py
+++ b/src/cuminstack/fleet/_deputies.py
@@ -125,6 +125,6 @@
         return not (is_back or self._control_leads)
 
     def _reaches_half_of_entries(self, now: float) -> bool:
-        recent = len(self._recent_reports(now))
+        recent = self._reports.count(now=now)
         # This instance is an entry, too.
         return 2 * (recent + 1) >= self._entry_count
--- a/src/cuminstack/fleet/_election.py
+++ b/src/cuminstack/fleet/_election.py
@@ -12,11 +12,11 @@
 """
 
 import math
-from collections import Counter
 from dataclasses import dataclass, replace
 from typing import Final
 
 from cuminstack.core import InstanceId
+from cuminstack.fleet._entry_reports import REPORT_SECONDS, EntryReports
 from cuminstack.fleet._messages import ControlBeat, HeardDispatcher
 from cuminstack.pool import MAX_TERM
 
@@ -38,12 +38,6 @@
 #: Seconds for which an instance must have been the first candidate before it
 #: leads, so that heartbeats in flight can still arrive.
 _CANDIDACY_SECONDS: Final = 0.1
-#: Seconds for which an entry's report of its dispatcher is valid; entries
-#: report twice in that time.
-_LEADER_REPORT_SECONDS: Final = 1.0
-#: Seconds for which an entry that reports counts as in touch.  It reports twice
-#: a second if it follows another dispatcher.
-_IN_TOUCH_SECONDS: Final = 0.6
 #: Seconds after the start of a term in which entries may not know it yet.
 _NEW_TERM_SECONDS: Final = 1.0
 
@@ -54,13 +48,6 @@
     received_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _LeaderReport:
-    leader: InstanceId | None
-    received_at: float
-    heard: tuple[HeardDispatcher, ...]
-
-
 class Election:
     """Decides whether one control instance leads.
 
@@ -81,7 +68,7 @@
         self._own = own
         self._eligible_at = now + _STARTUP_SECONDS
         self._beats: dict[InstanceId, _ReceivedBeat] = {}
-        self._leader_reports: dict[InstanceId, _LeaderReport] = {}
+        self._reports = EntryReports(own)
         self._highest_term = _within_range(highest_term)
         self._term = 0
         self._term_began_at: float = 0
@@ -91,7 +78,6 @@
         self._fenced_at = now
         self._has_obeyed = False
         self._step = 1
-        self._relieves_deputies = False
         self._resigned_term = 0
 
     @property
@@ -151,8 +137,8 @@
 
         Unlike the weight, it includes entries that follow another dispatcher.
         """
-        entries = self._recent_reports(now, seconds=_IN_TOUCH_SECONDS)
-        return len(entries) + len(self.live(now=now))
+        entries = self._reports.count_in_touch(now=now)
+        return entries + len(self.live(now=now))
 
     def record_leader_report(
         self,
@@ -172,7 +158,7 @@
             heard: Other dispatchers that the entry hears.
             now: The present time in seconds.
         """
-        self._leader_reports[entry] = _LeaderReport(leader, now, heard)
+        self._reports.record(entry, leader, heard, now=now)
         for known_term in (term, *(each.term for each in heard)):
             self._learn_term(known_term)
 
@@ -192,7 +178,7 @@
             relieves_deputies: Whether to lead although most entries follow
                 deputies.
         """
-        self._relieves_deputies = relieves_deputies
+        self._reports.relieves_deputies = relieves_deputies
         if now - self._ticked_at > HEARTBEAT_TIMEOUT_SECONDS:
             # The heartbeats that came during a pause are still unread.
             self._candidate_since = None
@@ -203,7 +189,7 @@
         elif (
             rivals
             or not self._is_first_candidate(now)
-            or self._most_follow_another(now)
+            or self._reports.most_follow_another(now=now)
             or self._is_outreached(now)
         ):
             self._candidate_since = None
@@ -225,7 +211,7 @@
         if term != self._term:
             # Several endpoints refuse the orders of a term that has ended.
             return
-        if self._rivals(now) or not self._has_followers(now):
+        if self._rivals(now) or not self._reports.has_followers(now=now):
             self._fenced_since = None
             return
         self._has_obeyed = self._has_obeyed or has_obeyed
@@ -269,13 +255,13 @@
         decides between equals.
         """
         is_new = now - self._term_began_at < _NEW_TERM_SECONDS
-        if not is_new and self._most_follow_another(now):
+        if not is_new and self._reports.most_follow_another(now=now):
             self._resign()
             return
         if self._is_outreached(now):
             self._resign()
             # Entries out of touch still seem to follow this instance.
-            self._eligible_at = now + _LEADER_REPORT_SECONDS
+            self._eligible_at = now + REPORT_SECONDS
             return
         for rival in rivals:
             beat = self._beats[rival].beat
@@ -285,61 +271,19 @@
             if beat.term >= self._term:
                 self._begin_term(now)
 
-    def _recent_reports(
-        self, now: float, *, seconds: float = _LEADER_REPORT_SECONDS
-    ) -> tuple[_LeaderReport, ...]:
-        return tuple(
-            report
-            for report in self._leader_reports.values()
-            if now - report.received_at < seconds
-        )
-
-    def _has_followers(self, now: float) -> bool:
-        """Return whether an entry in touch reports this dispatcher."""
-        return any(
-            report.leader == self._own for report in self._recent_reports(now)
-        )
-
     def _is_outreached(self, now: float) -> bool:
         """Return whether a rival out of reach can serve this one's entries.
 
-        Only entries connect the two.  If most of those that don't follow
-        another dispatcher hear one that endpoints obey already, as its term is
-        later, and that is in touch with more instances, they lose nothing by
-        following it.  Otherwise the two would take the endpoints from each
-        other until they can talk again.
+        Only entries connect the two.  They lose nothing by following the
+        rival; otherwise the two would take the endpoints from each other until
+        they can talk again.
         """
-        reports = self._recent_reports(now, seconds=_IN_TOUCH_SECONDS)
-        entries = [
-            report for report in reports if not self._is_another(report.leader)
-        ]
-        own = (self.reach(now=now), self._own)
-        live = self.live(now=now)
-        votes = Counter(
-            heard.name
-            for report in entries
-            for heard in report.heard
-            if heard.name not in live
-            and heard.term > self._term
-            and (heard.reach, heard.name) > own
+        return self._reports.most_hear_better(
+            term=self._term,
+            reach=self.reach(now=now),
+            live=self.live(now=now),
+            now=now,
         )
-        return any(2 * count > len(entries) for count in votes.values())
-
-    def _most_follow_another(self, now: float) -> bool:
-        """Return whether most entries in touch report another dispatcher.
-
-        Entries that report none count for this instance, and so do those that
-        report a deputy if this instance relieves deputies.
-        """
-        leaders = [report.leader for report in self._recent_reports(now)]
-        followers = sum(not self._is_another(leader) for leader in leaders)
-        return len(leaders) - followers > followers
-
-    def _is_another(self, leader: InstanceId | None) -> bool:
-        if leader is None or leader == self._own:
-            return False
-        is_deputy = leader in self._leader_reports
-        return not (is_deputy and self._relieves_deputies)
 
     def _is_first_candidate(self, now: float) -> bool:
         others = self.live(now=now)
