Log the row of a run that can't be read

Found in the read-through: the reason why an answer counts as none isn't logged, so a listing that is given up for a run without a valid number left no line, where a skipped row does. Orders and starts don't change; tests/test_platform.py and tests/test_platform_input.py pass.

--- a/src/cuminstack/platform/_workers.py
+++ b/src/cuminstack/platform/_workers.py
@@ -200,15 +200,20 @@
     for row in rows:
         try:
             yield decode_row(row)
-        except UnreadableRun:
+        except UnreadableRun as error:
+            _log_row('worker.unreadable_run', row, error)
             raise
         except _ROW_ERRORS as error:
-            log_event(
-                'worker.bad_row',
-                LogLevel.warning,
-                row=_describe_row(row),
-                error=error,
-            )
+            _log_row('worker.bad_row', row, error)
+
+
+def _log_row(event: str, row: Any, error: Exception) -> None:
+    log_event(
+        event,
+        LogLevel.warning,
+        row=_describe_row(row),
+        error=error,
+    )
 
 
 def _describe_row(row: Any) -> str:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -214,7 +214,7 @@
     def test_run_without_a_valid_number(self, rest: list[Any]) -> None:
         rows = [[f'{KEY}.0.0.0', 1, '', 41, 7], [f'{KEY}.0.0.1', *rest]]
         body = _to_json({'clockMs': 5, 'running': rows, 'finished': []})
-        with pytest.raises(UnreadableRun):
+        with pytest.raises(UnreadableRun, match=f'{KEY}.0.0.1'):
             decode_view(body)
 
     def test_refusals(self) -> None:
