Never use a ballot again after a restart

Cause: a proposer sends a ballot before its own promise is on the disk, and two other replicas may decide it. After a restart it takes its last number from the disk, so it may begin another ballot with the same number and name. Replicas take it for the known one, as only ballots are compared, and instances that know the first value ignore the second.

Change: a ballot has a random number of its process, as in the register of cuminstackd, where the incarnation stands for it. Ballots on the disk and from instances of an earlier version have 0. Those instances answer without it, so a new one gets no quorum of them: while most control instances are of the earlier version, changes go through these.

--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -52,6 +52,9 @@
 #: Longest random addition to that, so that instances which restart together
 #: don't compete.
 _SETTLE_JITTER_SECONDS: Final = 0.5
+#: Bits of the random number of a start, so many that two starts never draw the
+#: same one.
+_START_BITS: Final = 48
 #: Ticket of operations that no caller waits for.
 _NO_TICKET: Final = 0
 #: Longest random back-off of a proposer that was refused because of a
@@ -82,6 +85,7 @@
         self._own = own
         self._acceptor = Acceptor(own, state)
         self._random_source = random_source
+        self._start = int(random_source.random() * (1 << _START_BITS))
         # A value accepted before this start may have reached no quorum, so
         # only the initial value of an unused disk counts as in force.  A ballot
         # settles any other one.
@@ -227,7 +231,7 @@
         )
         self._ballot_operations = tuple(self._operations)
         number = max(self._highest_ballot.number, newest.ballot.number) + 1
-        self._highest_ballot = Ballot(number, self._own)
+        self._highest_ballot = Ballot(number, self._own, self._start)
         self._ballot_run = BallotRun(self._highest_ballot, newest, change)
         self._resend_at = now + _RESEND_SECONDS
         return self._ballot_run.pending_requests()
--- a/src/cuminstack/document/_records.py
+++ b/src/cuminstack/document/_records.py
@@ -30,10 +30,13 @@
     Args:
         number: The round, compared first.
         proposer: The instance that proposes; it breaks ties.
+        start: A random number of the proposer's process, which may not know
+            the ballots that it used before a restart.
     """
 
     number: int
     proposer: InstanceId
+    start: int = 0
 
 
 NO_BALLOT: Final = Ballot(0, InstanceId(''))
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cuminstack.core import InstanceId
+from cuminstack.core import InstanceId, Send
 from cuminstack.document import (
     FIRST_DISK,
     Conflict,
@@ -14,6 +14,7 @@
     decode_state,
     encode_state,
 )
+from cuminstack.document._records import Ballot
 from fakes_document import DocumentWorld
 
 FIRST, SECOND, THIRD = (InstanceId(name) for name in 'abc')
@@ -145,6 +146,42 @@
         assert not world.documents[SECOND].in_force.incoming
         assert not world.documents[THIRD].in_force.incoming
 
+    # Guards against a change that is acknowledged and not read elsewhere: its
+    # ballot had been used before a restart, by a proposer whose disk refused
+    # all writes, so the other instances took it for known.
+    def test_ballot_is_not_reused_after_a_restart(self) -> None:
+        world = DocumentWorld()
+        unwritten = world.disks[FIRST]
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        world.stop(FIRST)
+        world.disks[FIRST] = unwritten
+        world.boot(FIRST)
+        ticket = world.submit('a', 6, b'six')
+        world.run_for(2)
+        assert isinstance(world.outcomes[ticket], InForce)
+        versions = [each.in_force.version for each in world.documents.values()]
+        assert versions == [6, 6, 6]
+
+    # Guards against two values under one ballot, of which each replica may hold
+    # another one: the first attempt had reached no quorum.
+    def test_restarted_proposer_draws_other_ballots(self) -> None:
+        world = DocumentWorld()
+        unwritten = world.disks[FIRST]
+        ballots: list[Ballot] = []
+        for _ in range(2):
+            effects = world.documents[FIRST].submit(
+                4, b'four', ticket=1, now=world.now
+            )
+            ballots.extend(
+                effect.message.ballot
+                for effect in effects
+                if isinstance(effect, Send)
+            )
+            world.disks[FIRST] = unwritten
+            world.boot(FIRST)
+        assert len(set(ballots)) == 2
+
     def test_settled_instances_start_no_ballots(self) -> None:
         world = DocumentWorld()
         world.submit('a', 4, b'four')
