Give each value in force a higher revision

Cause: heartbeats tell the number of the newest ballot in force, and a proposer that hasn't heard of the last one may decide a ballot with the same number and a greater name. An instance that missed the second value seems to be up to date.

Evidence: test_values_in_force_have_rising_revisions failed before (revision 1 twice).

Change: a proposer that finds another ballot of its number accepted begins a higher one.

--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -307,11 +307,14 @@
 
     def _back_off(self, refused: BallotRefused, now: float) -> Effects:
         self._highest_ballot = max(self._highest_ballot, refused.promised)
-        if (
-            self._ballot_run is None
-            or refused.ballot != self._ballot_run.ballot
-        ):
-            return ()
+        is_current = (
+            self._ballot_run is not None
+            and refused.ballot == self._ballot_run.ballot
+        )
+        return self._retry_ballot(now) if is_current else ()
+
+    def _retry_ballot(self, now: float) -> Effects:
+        """Give up the ballot, and begin a higher one after a random delay."""
         self._ballot_run = None
         self._next_ballot_at = (
             now + _MAX_BACKOFF_SECONDS * self._random_source.random()
@@ -324,6 +327,10 @@
             or promise.ballot != self._ballot_run.ballot
         ):
             return ()
+        if self._ballot_run.is_as_high_as(promise.accepted):
+            # Instances compare revisions by the number of the ballot alone.
+            self._highest_ballot = max(self._highest_ballot, promise.accepted)
+            return self._retry_ballot(now)
         sends = self._ballot_run.add_promise(promise)
         return (*sends, *self._finish_if_decided(now))
 
--- a/src/cuminstack/document/_proposer.py
+++ b/src/cuminstack/document/_proposer.py
@@ -116,6 +116,11 @@
         """Return the requests to the replicas that have not answered yet."""
         return self._prepares() if self.proposed is None else self._accepts()
 
+    def is_as_high_as(self, accepted: Ballot) -> bool:
+        """Return whether another ballot with this number was accepted."""
+        is_own = accepted == self.ballot
+        return accepted.number == self.ballot.number and not is_own
+
     def add_promise(self, promise: Promise) -> tuple[Send, ...]:
         """Count a promise.
 
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -182,6 +182,23 @@
             world.boot(FIRST)
         assert len(set(ballots)) == 2
 
+    # Guards against an instance that keeps an older value, as heartbeats tell
+    # the number of the newest ballot and another one had the same.
+    def test_values_in_force_have_rising_revisions(self) -> None:
+        world = DocumentWorld()
+        world.cut_links = {
+            frozenset((FIRST, THIRD)),
+            frozenset((SECOND, THIRD)),
+        }
+        world.submit('a', 4, b'four')
+        world.run_for(1)
+        before = world.documents[SECOND].revision
+        world.cut_links.clear()
+        world.submit('c', 6, b'six')
+        world.run_for(1)
+        assert world.documents[SECOND].in_force.version == 6
+        assert world.documents[SECOND].revision > before
+
     def test_settled_instances_start_no_ballots(self) -> None:
         world = DocumentWorld()
         world.submit('a', 4, b'four')
