Assume a least run time for runs that end as they are claimed

A successor that claimed a run and heard of its end at the same clock reading measured a run time of 0. Its ratio to itself divided zero by zero in EndpointHealth.record_success, and the rest of the batch of answers was lost. Measured run times are now at least 1 ms.

--- a/src/cuminstack/pool/_progress.py
+++ b/src/cuminstack/pool/_progress.py
@@ -19,6 +19,9 @@
 #: Cost of a restart in seconds, in addition to the run itself.
 _RESTART_SECONDS: Final = 0.08
 _FULL_PERCENT: Final = 100.0
+#: Least run time in seconds that is assumed.  A run that is claimed and ends
+#: at the same clock reading has a measured time of 0, which has no ratio.
+MIN_RUN_SECONDS: Final = 0.001
 
 
 class Verdict(enum.Enum):
@@ -60,7 +63,8 @@
     if percent < _MIN_PERCENT:
         return Verdict.leave
     begun = run.confirmed_at or run.sent_at
-    ratio = (now - begun) * _FULL_PERCENT / percent / expected
+    elapsed = max(now - begun, MIN_RUN_SECONDS)
+    ratio = elapsed * _FULL_PERCENT / percent / expected
     name = endpoint.report.endpoint
     job.run_time_ratios[task] = (name, ratio)
     best_sibling = job.sibling_ratio(task, name)
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -11,7 +11,11 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Task, TaskState
 from cuminstack.pool._notes import list_jobs, moved_event
-from cuminstack.pool._progress import Verdict, check_progress
+from cuminstack.pool._progress import (
+    MIN_RUN_SECONDS,
+    Verdict,
+    check_progress,
+)
 from cuminstack.pool._records import RunKey, TaskKey
 
 #: Times that a task is moved at most; if it still seems slow after that, the
@@ -177,7 +181,8 @@
         run: Run,
         now: float,
     ) -> Iterator[Effect]:
-        seconds = now - (run.confirmed_at or run.sent_at)
+        begun = run.confirmed_at or run.sent_at
+        seconds = max(now - begun, MIN_RUN_SECONDS)
         expected = job.expected_seconds[task.key.step]
         name = endpoint.report.endpoint
         ratio = seconds / expected
