Learn the speeds of endpoints from run times

Runs were compared with siblings on other endpoints, whose speeds may differ by 2.7, so healthy runs were stopped as lagging and their endpoints quarantined. EndpointSpeeds now learns how run times at each endpoint differ from the mean of its service, with the kind of the endpoint as its prior, in constant time for each end. Lagging and stuck runs, the health of endpoints and the learned factor of a queue use it.

Siblings elsewhere tell a long job from a slow endpoint. One long job of eight tasks tripled what was expected of its queue; a sample that is far off now counts only from the first task of a step and is bounded, unless four jobs in a row are far off. A run that was claimed from another dispatcher was measured from its claim; it teaches nothing any more, and its rate is measured from its first listing.

--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -79,6 +79,7 @@
         self.millicores = millicores
         self.faults = Faults()
         self.rate = rate
+        self.slowness: float = 1
         self.born = 1
         self.token = 0
         self.running: dict[RunKey, _Running] = {}
@@ -156,7 +157,7 @@
         self.spans.append(span)
         self.running[order.run] = _Running(
             span,
-            seconds * self.faults.slow,
+            seconds * self.slowness * self.faults.slow,
             needs,
             fails=self.faults.fails or poison,
         )
--- a/bench/pool/_world.py
+++ b/bench/pool/_world.py
@@ -61,6 +61,9 @@
     attempts: int = 2
     slack: float = 0.06
     priority: int = 0
+    queue: str = 'queue'
+    # Sigma of the lognormal distribution of the run times of its tasks.
+    spread: float = 0
 
 
 @dataclass
@@ -150,9 +153,9 @@
             estimate=plan.declared or plan.seconds,
         )
         submission = Submission(
-            request=JobRequest(key, 'queue', 'payload', (step,)),
+            request=JobRequest(key, plan.queue, 'payload', (step,)),
             terms=QueueTerms(
-                'queue',
+                plan.queue,
                 SERVICE,
                 priority=plan.priority,
                 attempts=plan.attempts,
@@ -259,9 +262,12 @@
         match order:
             case StartRun():
                 plan = self.plans[order.run.task.job]
+                seconds = plan.seconds
+                if plan.spread:
+                    seconds *= self.chance.lognormvariate(0, plan.spread)
                 return worker.start(
                     order,
-                    plan.seconds,
+                    seconds,
                     plan.millicores,
                     poison=plan.poison,
                     now=self.now,
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -28,11 +28,13 @@
 )
 from cuminstack.pool._orders import QueueOrder
 from cuminstack.pool._pace import LatenessMonitor
+from cuminstack.pool._progress import RunAssessor
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import EndpointReport
 from cuminstack.pool._refuser import AdmissionControl
 from cuminstack.pool._rooms import CapacityIndex
 from cuminstack.pool._runs import RunTracker
+from cuminstack.pool._speeds import EndpointSpeeds
 from cuminstack.pool._watch import EndpointWatch
 
 #: Seconds of silence after which an endpoint is removed.  It sends a heartbeat
@@ -79,7 +81,12 @@
         self._last_contacts: dict[EndpointId, float] = {}
         queue = JobQueue(order)
         self._jobs = JobTable(queue, term=term)
-        self._runs = RunTracker(self._endpoints, self._jobs)
+        self._speeds = EndpointSpeeds(self._endpoints)
+        self._runs = RunTracker(
+            self._endpoints,
+            self._jobs,
+            RunAssessor(self._jobs, self._speeds, self._capacity_index),
+        )
         self._assigner = Assigner(self._endpoints, self._capacity_index, queue)
         self._admission = AdmissionControl(
             self._jobs, Load(self._capacity_index, queue)
@@ -90,6 +97,11 @@
         """All known endpoints."""
         return tuple(self._endpoints.values())
 
+    @property
+    def speeds(self) -> EndpointSpeeds:
+        """Speeds of the endpoints."""
+        return self._speeds
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of jobs without a started task, by queue."""
@@ -177,6 +189,7 @@
         self._last_contacts.pop(endpoint, None)
         if known is None:
             return ()
+        self._speeds.forget(endpoint)
         known.phase = Phase.gone
         return (
             *self._runs.requeue_lost_runs(known),
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -56,6 +56,10 @@
         stop_sent_at: Time at which its last stop was ordered; None if none was.
         percent: Its last known progress, 0 to 100.
         progressed_at: Time at which `percent` last increased.
+        is_claimed: Whether another dispatcher started it, so that its start is
+            not known.
+        first_percent: Its progress when it was claimed and listed, 0 to 100.
+        first_listed_at: Time of that listing; 0 if there was none.
     """
 
     key: RunKey
@@ -66,6 +70,9 @@
     stop_sent_at: float | None = None
     percent: float = 0
     progressed_at: float = 0
+    is_claimed: bool = False
+    first_percent: float = 0
+    first_listed_at: float = 0
 
 
 class Endpoint:
--- a/src/cuminstack/pool/_job_table.py
+++ b/src/cuminstack/pool/_job_table.py
@@ -136,10 +136,30 @@
             on_change=self._queue.mark_changed,
         )
 
+    def expect(self, job: Job, task: TaskKey) -> float:
+        """Return the run time of a task that its queue suggests by now.
+
+        Unlike `Job.expected_seconds`, it uses what was learned since the job
+        was created.
+        """
+        declared = job.steps[task.step].estimate
+        return self._run_times.expect(job.terms.name, declared)
+
     def learn(self, job: Job, task: Task, seconds: float) -> None:
-        """Record the run time of a task that is done, in seconds."""
+        """Record the run time of a task that is done.
+
+        Args:
+            job: The job.
+            task: Task of the job.
+            seconds: Its run time at slowness 1.0, in seconds.
+        """
         declared = job.steps[task.key.step].estimate
-        self._run_times.learn(job.terms.name, declared, seconds)
+        self._run_times.learn(
+            job.terms.name,
+            declared,
+            seconds,
+            is_first=not task.key.index,
+        )
 
     def end(self, job: Job, state: JobState, *, now: float) -> JobEnded:
         """Record the final state of a job; its runs are still to be stopped."""
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -1,6 +1,7 @@
 """Jobs at the dispatcher, and the states of their tasks."""
 
 import enum
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -18,6 +19,11 @@
 #: Multiple of the time to the objective after which an answer is of little use
 #: to most clients.
 _USEFUL_FACTOR: Final = 3.0
+#: Tasks of a step that others are compared with; more would tell little more,
+#: and steps have up to 1,800 tasks.
+_MAX_SIBLINGS: Final = 16
+#: Ratio of actual to expected run time at slowness 1.0, and the endpoint.
+_Measured = tuple[float, EndpointId]
 
 
 class TaskState(enum.Enum):
@@ -120,7 +126,10 @@
         self.expected_seconds = expected_seconds
         self.abandoned = False
         self._first_number = first_number
-        self.run_time_ratios: dict[TaskKey, tuple[EndpointId, float]] = {}
+        # Ratios of the tasks that were measured last, by step.
+        self._ratios: defaultdict[int, dict[TaskKey, _Measured]] = defaultdict(
+            dict
+        )
         self.tasks = {
             key: Task(key, first_number)
             for key in _task_keys(submission.request)
@@ -205,25 +214,44 @@
         """Return the time at which the job is done if it starts at `start`."""
         return start + self._critical_path
 
-    def sibling_ratio(
-        self, task: TaskKey, endpoint: EndpointId
-    ) -> float | None:
-        """Return how fast tasks of the same step run on other endpoints.
+    def record_ratio(
+        self, task: TaskKey, endpoint: EndpointId, ratio: float
+    ) -> None:
+        """Record the run time of a task, known or estimated.
 
         Args:
-            task: Key of the task to compare with.
-            endpoint: Endpoint of that task, which is left out.
+            task: The task.
+            endpoint: Endpoint of its run.
+            ratio: Ratio of its actual to its expected run time, divided by the
+                slowness of the endpoint.
+        """
+        ratios = self._ratios[task.step]
+        ratios.pop(task, None)
+        ratios[task] = (ratio, endpoint)
+        if len(ratios) > _MAX_SIBLINGS:
+            ratios.pop(next(iter(ratios)))
+
+    def best_sibling(
+        self, endpoint: EndpointId, step: int
+    ) -> tuple[float, EndpointId] | None:
+        """Return how fast tasks of a step run on other endpoints.
+
+        Args:
+            endpoint: Endpoint that is left out.
+            step: The step.
 
         Returns:
-            The lowest ratio of actual to expected run time; None if no such
-            task has been measured.
+            The lowest recorded ratio and its endpoint; None if no such task
+            has been measured.
         """
-        ratios = [
-            ratio
-            for key, (host, ratio) in self.run_time_ratios.items()
-            if key.step == task.step and host != endpoint
-        ]
-        return min(ratios, default=None)
+        return min(
+            [
+                measured
+                for measured in self._ratios[step].values()
+                if measured[1] != endpoint
+            ],
+            default=None,
+        )
 
     def begin(self, task: Task, endpoint: EndpointId) -> RunKey:
         """Create the next run of a task that is about to be started."""
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -11,11 +11,7 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job, Task, TaskState
 from cuminstack.pool._notes import list_jobs, moved_event
-from cuminstack.pool._progress import (
-    MIN_RUN_SECONDS,
-    Verdict,
-    check_progress,
-)
+from cuminstack.pool._progress import RunAssessor, Verdict
 from cuminstack.pool._records import RunKey, TaskKey
 
 #: Times that a task is moved at most; if it still seems slow after that, the
@@ -32,15 +28,18 @@
     Args:
         endpoints: All known endpoints, by id.
         jobs: All known jobs.
+        assessor: Assesses runs by their progress and run times.
     """
 
     def __init__(
         self,
         endpoints: dict[EndpointId, Endpoint],
         jobs: JobTable,
+        assessor: RunAssessor,
     ) -> None:
         self._endpoints = endpoints
         self._jobs = jobs
+        self._assessor = assessor
         # Endpoints that list foreign runs, or did.
         self._foreign_run_hosts: dict[int, Endpoint] = {}
         # Tasks whose runs of another dispatcher are done, and since when, the
@@ -140,7 +139,9 @@
         job = self._jobs.find(run.key.task.job)
         if job is None or run.stop_sent_at is not None:
             return
-        verdict = check_progress(endpoint, job, run, percent=percent, now=now)
+        verdict = self._assessor.check_progress(
+            endpoint, job, run, percent=percent, now=now
+        )
         task = job.tasks[run.key.task]
         if verdict is Verdict.leave or task.moves >= _MAX_MOVES:
             return
@@ -181,15 +182,7 @@
         run: Run,
         now: float,
     ) -> Iterator[Effect]:
-        begun = run.confirmed_at or run.sent_at
-        seconds = max(now - begun, MIN_RUN_SECONDS)
-        expected = job.expected_seconds[task.key.step]
-        name = endpoint.report.endpoint
-        ratio = seconds / expected
-        best_sibling = job.sibling_ratio(task.key, name)
-        job.run_time_ratios[task.key] = (name, ratio)
-        endpoint.health.record_success(ratio / (best_sibling or ratio))
-        self._jobs.learn(job, task, seconds)
+        self._assessor.record_done(endpoint, job, task, run, now=now)
         job.finish(task)
         if job.is_done and not job.abandoned:
             yield self._jobs.end(job, JobState.completed, now=now)
@@ -304,6 +297,8 @@
                     continue
                 endpoint.remove_foreign_run(key)
                 needs = job.steps[task.key.step].needs
-                run = Run(key, needs, sent_at=now, confirmed_at=now)
+                run = Run(
+                    key, needs, sent_at=now, confirmed_at=now, is_claimed=True
+                )
                 endpoint.add(run)
                 job.claim(task, key, endpoint.report.endpoint)
