Hand the learned speeds of endpoints to the next dispatcher

A successor knew no speeds, so it moved healthy runs until it had learned them. The dispatcher now sends figures that changed by more than 10%, and 32 others in turn, at most every 2 s, to the other control instances and to the deputies of their zones. They travel in a new field of EndpointReports, since a new kind of message would make earlier versions close the link. Nothing is sent while all endpoints count as alike. Older updates, figures of other lifetimes and implausible ones are ignored.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -49,6 +49,11 @@
     endpoint_capacity,
     plan_deputies,
 )
+from cuminstack.fleet._speed_exchange import (
+    SpeedPublisher,
+    SpeedRecords,
+    SpeedUpdate,
+)
 
 __all__ = (
     'HEARTBEAT_TIMEOUT_SECONDS',
@@ -81,6 +86,9 @@
     'OrderAnswered',
     'OrderRouter',
     'Refused',
+    'SpeedPublisher',
+    'SpeedRecords',
+    'SpeedUpdate',
     'Submit',
     'Taken',
     'UnknownJobs',
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cuminstack.core import InstanceId, JobKey, ZoneName
+from cuminstack.fleet._speed_exchange import SpeedUpdate
 from cuminstack.pool import (
     EndpointReport,
     JobRequest,
@@ -189,9 +190,16 @@
 @message('fleet.endpoint_reports')
 @dataclass(frozen=True, slots=True)
 class EndpointReports:
-    """Heartbeats of endpoints that a control instance received."""
+    """Heartbeats of endpoints that a control instance received.
+
+    Args:
+        reports: The heartbeats.
+        speeds: Speeds of endpoints that the sender has learned; None if it
+            doesn't dispatch or they haven't changed.
+    """
 
     reports: tuple[EndpointReport, ...]
+    speeds: SpeedUpdate | None = None
 
 
 @message('fleet.endpoint_left')
--- a/src/cuminstack/pool/__init__.py
+++ b/src/cuminstack/pool/__init__.py
@@ -42,6 +42,8 @@
     Step,
     TaskKey,
 )
+from cuminstack.pool._speed_table import SpeedFigure, SpeedTable
+from cuminstack.pool._speeds import EndpointSpeeds
 from cuminstack.pool._tokens import MAX_TERM
 from cuminstack.pool._watch import LEASE_SECONDS
 
@@ -54,6 +56,7 @@
     'EndKind',
     'Endpoint',
     'EndpointReport',
+    'EndpointSpeeds',
     'EndpointView',
     'Fenced',
     'Hold',
@@ -73,6 +76,8 @@
     'RunEnd',
     'RunKey',
     'RunProgress',
+    'SpeedFigure',
+    'SpeedTable',
     'StartRun',
     'Started',
     'Step',
--- a/src/cuminstack/pool/_speeds.py
+++ b/src/cuminstack/pool/_speeds.py
@@ -16,7 +16,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
@@ -27,6 +27,7 @@
     Kinds,
     KindTable,
 )
+from cuminstack.pool._speed_table import SpeedFigure, SpeedTable
 
 #: Variance of the logarithm of a run time at one endpoint, that is 20%: tasks
 #: of a step differ by 15%, and jobs of a queue somewhat more.
@@ -34,14 +35,16 @@
 #: Seconds by which the measured time of a run is off, as its start and its end
 #: are reported over the network.
 _LATENCY_SECONDS: Final = 0.01
-#: Growth of the variance with the age of an estimate, in each second.
-_VARIANCE_GROWTH: Final = 0.0005
+#: Growth of the variance with the age of an estimate, in each second.  An
+#: estimate that is an hour old tells nothing.
+_VARIANCE_GROWTH: Final = 0.00005
 #: Standard deviations to which a surprise is bounded.  3% of jobs take seven
 #: times as long as the others of their queue.
 _MAX_SURPRISE: Final = 2.0
-#: Added to the variance by a bounded surprise.  Several of them in a row mean
-#: that the endpoint has changed, and then each counts for more.
-_SURPRISE_VARIANCE: Final = 0.004
+#: Bounded surprises in a row which mean that the endpoint has changed.  Each
+#: adds to the variance, so that it counts for more.
+_SURPRISES_IN_ROW: Final = 3
+_SURPRISE_VARIANCE: Final = 0.006
 #: Standard deviations by which an endpoint must differ from the mean of its
 #: service, so that one in some hundreds of like endpoints seems to differ.
 _SIGNIFICANCE: Final = 3.0
@@ -52,6 +55,8 @@
 #: means of kinds and services by little, and speeds are read many times more
 #: often than samples come.
 _MAX_SAMPLES: Final = 64
+#: Decimal places of the values of a table.
+_DIGITS: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +68,23 @@
         kinds: Populations that the estimate belongs to.
         log: Mean of the logarithm of measured over expected run time.
         variance: Variance of `log`.
-        updated_at: Time of the newest sample in seconds.
+        updated_at: Time of the newest sample in seconds; None if there is
+            none.
+        surprises: Number of the newest samples in a row that were bounded.
     """
 
     lifetime: int
     kinds: Kinds
     log: float
     variance: float
-    updated_at: float
+    updated_at: float | None = None
+    surprises: int = 0
+
+    def variance_at(self, now: float) -> float:
+        """Return the variance of `log`, which grows with its age."""
+        updated_at = now if self.updated_at is None else self.updated_at
+        growth = max(0, now - updated_at) * _VARIANCE_GROWTH
+        return min(self.variance + growth, UNKNOWN_VARIANCE)
 
 
 class _Speed(NamedTuple):
@@ -103,6 +117,7 @@
         self._endpoints = endpoints
         self._estimates: dict[EndpointId, _Estimate] = {}
         self._speeds: dict[EndpointId, _Speed] = {}
+        self._restored: dict[EndpointId, tuple[SpeedFigure, float]] = {}
         self._samples = 0
         self._kinds = KindTable()
 
@@ -141,16 +156,16 @@
         """
         name = endpoint.report.endpoint
         known = self._estimate(endpoint)
-        age = max(0, now - known.updated_at) if known.updated_at else 0
-        variance = min(
-            known.variance + age * _VARIANCE_GROWTH, UNKNOWN_VARIANCE
-        )
+        variance = known.variance_at(now)
         noise = _TASK_VARIANCE + (_LATENCY_SECONDS / expected) ** 2
         surprise = math.log(seconds / expected) - known.log
         bound = _MAX_SURPRISE * math.sqrt(variance + noise)
+        surprises = 0
         if abs(surprise) > bound:
             surprise = math.copysign(bound, surprise)
-            variance = min(variance + _SURPRISE_VARIANCE, UNKNOWN_VARIANCE)
+            surprises = known.surprises + 1
+            if surprises >= _SURPRISES_IN_ROW:
+                variance = min(variance + _SURPRISE_VARIANCE, UNKNOWN_VARIANCE)
         gain = variance / (variance + noise)
         self._replace(
             name,
@@ -160,11 +175,44 @@
                 log=known.log + gain * surprise,
                 variance=max(variance * (1 - gain), MIN_VARIANCE),
                 updated_at=now,
+                surprises=surprises,
             ),
         )
 
+    def snapshot(self, *, now: float) -> SpeedTable:
+        """Return all speeds that were learned or restored.
+
+        Args:
+            now: Current time in seconds.
+        """
+        return SpeedTable(
+            tuple(
+                self._figure(name, estimate, now)
+                for name, estimate in tuple(self._estimates.items())
+            )
+        )
+
+    def restore(self, table: SpeedTable, *, now: float) -> None:
+        """Start with the speeds that an earlier dispatcher has learned.
+
+        Figures of other lifetimes are ignored, as are those of endpoints whose
+        run times were measured here.  Endpoints that are not known yet get
+        theirs once they are.
+
+        Args:
+            table: The speeds.
+            now: Current time in seconds.
+        """
+        for figure in table.figures:
+            name = figure.endpoint
+            endpoint = self._endpoints.get(name)
+            self._restored[name] = (figure, now - figure.age)
+            if endpoint is not None and name not in self._estimates:
+                self._adopt(endpoint)
+
     def forget(self, endpoint: EndpointId) -> None:
         """Discard the estimate of an endpoint that was removed."""
+        self._restored.pop(endpoint, None)
         self._speeds.pop(endpoint, None)
         known = self._estimates.pop(endpoint, None)
         if known is not None:
@@ -182,6 +230,19 @@
             self._speeds[name] = known
         return known
 
+    def _figure(
+        self, name: EndpointId, estimate: _Estimate, now: float
+    ) -> SpeedFigure:
+        updated_at = now if estimate.updated_at is None else estimate.updated_at
+        return SpeedFigure(
+            endpoint=name,
+            lifetime=estimate.lifetime,
+            log=round(estimate.log - estimate.kinds.service.mean, _DIGITS),
+            variance=round(estimate.variance, _DIGITS),
+            slowness=round(self._derive(estimate).slowness, _DIGITS),
+            age=round(now - updated_at, _DIGITS),
+        )
+
     def _derive(self, estimate: _Estimate) -> _Speed:
         """Return the speed that an estimate stands for.
 
@@ -217,9 +278,33 @@
         lifetime = endpoint.lifetime.number
         if known is not None and known.lifetime == lifetime:
             return known
+        if self._adopt(endpoint):
+            return self._estimates[endpoint.report.endpoint]
         kinds = self._kinds.kinds_of(endpoint.report)
         kind = kinds.largest if kinds.largest.count else kinds.service
-        return _Estimate(lifetime, kinds, kind.mean, kind.prior_variance, 0)
+        return _Estimate(lifetime, kinds, kind.mean, kind.prior_variance)
+
+    def _adopt(self, endpoint: Endpoint) -> bool:
+        """Use the restored figure of an endpoint, if it is of its lifetime."""
+        name = endpoint.report.endpoint
+        figure, updated_at = self._restored.get(name, (None, 0))
+        if figure is None or figure.lifetime != endpoint.lifetime.number:
+            return False
+        variance = max(figure.variance, MIN_VARIANCE)
+        estimate = _Estimate(
+            lifetime=figure.lifetime,
+            kinds=self._kinds.kinds_of(endpoint.report),
+            log=figure.log,
+            variance=variance,
+            updated_at=updated_at,
+        )
+        self._replace(
+            name,
+            replace(
+                estimate, variance=estimate.variance_at(updated_at + figure.age)
+            ),
+        )
+        return True
 
     def _replace(self, name: EndpointId, estimate: _Estimate) -> None:
         self.forget(name)
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -15,6 +15,8 @@
     Order,
     OrderAnswered,
     OrderRouter,
+    SpeedPublisher,
+    SpeedUpdate,
     Submit,
 )
 from cuminstack.logs import log_event
@@ -27,6 +29,7 @@
     Hold,
     LogEvent,
     OrderRefused,
+    SpeedTable,
     Started,
     StartRun,
     StopRun,
@@ -80,6 +83,7 @@
         self._term = term
         self._send = send
         self._batch_sender = BatchSender(self._send_orders)
+        self._publisher = SpeedPublisher(now=now)
         self._router = OrderRouter(own, session=session, now=now)
         dispatcher = Dispatcher(
             term=term,
@@ -104,6 +108,22 @@
         """Number of jobs without a started task, by queue."""
         return self._dispatcher.waiting
 
+    def restore_speeds(self, table: SpeedTable, *, now: float) -> None:
+        """Start with the speeds that an earlier dispatcher has learned."""
+        self._dispatcher.speeds.restore(table, now=now)
+
+    def speeds(self, *, now: float) -> SpeedTable:
+        """Return the speeds of all endpoints that are known."""
+        return self._dispatcher.speeds.snapshot(now=now)
+
+    def speed_update(self, *, now: float) -> SpeedUpdate | None:
+        """Return the speeds that other instances are to know, if it is time."""
+        if not self._publisher.is_due(now=now):
+            return None
+        return self._publisher.update(
+            self.speeds(now=now), term=self._term, now=now
+        )
+
     def stop(self) -> None:
         """Send no further orders."""
         self._batch_sender.stop()
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -15,6 +15,8 @@
     EntryBeat,
     EntryInfo,
     LeaderBeat,
+    SpeedRecords,
+    SpeedUpdate,
     Submit,
     choose_evenly_spaced,
 )
@@ -95,6 +97,7 @@
         self._entry_infos: dict[InstanceId, EntryInfo] = {}
         self._zones: frozenset[ZoneName] = frozenset()
         self._departures = 0
+        self._speed_records = SpeedRecords()
         now = steady_now()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
             report.endpoint: (report, now) for report in reports
@@ -262,6 +265,19 @@
         for report, received_at in tuple(self._reports.values()):
             if now - received_at > _REPORT_LIFETIME_SECONDS:
                 self._reports.pop(report.endpoint)
+        self._speed_records.keep_only(self._reports)
+
+    def speed_update(self, *, now: float) -> SpeedUpdate | None:
+        """Return the speeds that other instances are to know, if it is time.
+
+        They are also recorded here, for when this instance leads again.
+        """
+        if self._dispatcher is None:
+            return None
+        update = self._dispatcher.speed_update(now=now)
+        if update is not None:
+            self._speed_records.receive(update, now=now)
+        return update
 
     def receive(self, sender: InstanceId, message: Any, *, now: float) -> None:
         """Handle a message of an entry or of a control instance."""
@@ -271,16 +287,14 @@
             case EndpointReports():
                 for report in message.reports:
                     self.observe(report, now=now)
+                if message.speeds is not None:
+                    self._speed_records.receive(message.speeds, now=now)
             case EndpointLeft():
                 self.remove_endpoint(EndpointId(message.endpoint), now=now)
-            case Dropped() if self._dispatcher is not None:
-                self._dispatcher.drop(sender, message, now=now)
             case Carry():
                 self._carrier.receive(sender, message, now=now)
-            case Carried() if self._dispatcher is not None:
-                self._dispatcher.receive_answers(sender, message, now=now)
-            case Submit() if self._dispatcher is not None:
-                self._submit(self._dispatcher, sender, message, now)
+            case _ if self._dispatcher is not None:
+                self._receive_work(self._dispatcher, sender, message, now)
 
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Record a heartbeat of an endpoint."""
@@ -320,6 +334,11 @@
             is_recent = now - received_at < _REPORT_LIFETIME_SECONDS
             if is_recent and self._covers(report):
                 self._dispatcher.observe(report, now=now)
+        # The mean of a service counts only the endpoints that are known, so
+        # they come first.
+        self._dispatcher.restore_speeds(
+            self._speed_records.table(now=now), now=now
+        )
 
     def _covers(self, report: EndpointReport) -> bool:
         return not self._zones or report.zone in self._zones
@@ -338,6 +357,22 @@
             case TokensLow():
                 self._election.renew_term(event.term, now=now)
 
+    def _receive_work(
+        self,
+        dispatcher: ActiveDispatcher,
+        sender: InstanceId,
+        message: Any,
+        now: float,
+    ) -> None:
+        """Handle a message that only a dispatcher gets."""
+        match message:
+            case Dropped():
+                dispatcher.drop(sender, message, now=now)
+            case Carried():
+                dispatcher.receive_answers(sender, message, now=now)
+            case Submit():
+                self._submit(dispatcher, sender, message, now)
+
     def _submit(
         self,
         dispatcher: ActiveDispatcher,
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -20,6 +20,7 @@
     EntryBeat,
     HeartbeatBuffer,
     LeaderBeat,
+    SpeedUpdate,
     plan_deputies,
 )
 from cuminstack.links import Mesh
@@ -183,6 +184,18 @@
             if selected.reports:
                 self._mesh.send_all(shard.deputies, selected)
 
+    def _send_speeds(self, update: SpeedUpdate | None) -> None:
+        """Send learned speeds to the instances that may dispatch."""
+        if update is None:
+            return
+        self._mesh.send_all(self._controls, EndpointReports((), update))
+        zone_of = {
+            report.endpoint: report.zone for report in self._candidate.reports
+        }
+        for shard in self._plan.shards:
+            selected = update.select(shard.zones, zone_of)
+            self._mesh.send_all(shard.deputies, EndpointReports((), selected))
+
     def _update_plan(self, now: float) -> None:
         self._plan = plan_deputies(
             self._candidate.entry_infos(now=now),
@@ -213,6 +226,7 @@
             self._send_beats(now)
         elif self._candidate.leads and not was_leader:
             self._send_leader_beats(now)
+        self._send_speeds(self._candidate.speed_update(now=now))
         if self._ticks % _REPORT_FLUSH_TICKS == 0:
             self._send_to_candidates(self._heartbeat_buffer.flush())
         if self._ticks % _ENDPOINT_SAVE_TICKS == 0 or self._has_departures:
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -7,6 +7,7 @@
 from cuminstack.fleet import (
     ControlBeat,
     DeputyElection,
+    EndpointReports,
     LeaderBeat,
 )
 from cuminstack.links import Mesh
@@ -79,6 +80,11 @@
             self._send_deputy_beats(now)
         if self._candidate.leads and (is_heartbeat_due or not was_leader):
             self._send_leader_beats(now)
+        update = self._candidate.speed_update(now=now)
+        if update is not None:
+            self._mesh.send_all(
+                self._other_deputies, EndpointReports((), update)
+            )
 
     def resign(self) -> None:
         """Stop dispatching for good, because this entry is about to end."""
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -198,6 +198,9 @@
     def send(self, peer: InstanceId, message: object) -> None:
         """Drop a message."""
 
+    def send_all(self, peers: object, message: object) -> None:
+        """Drop a message."""
+
 
 class TestEntryContact:
     """How long a candidate has been in contact with an entry.
