Show learned speeds in the log and the metrics, and describe them

dispatcher.leads names how many speeds were taken over and the age of the oldest, task.moved the slowness of its endpoint and its uncertainty, and endpoint.speed_changed the endpoint whose figure has changed most, at most once in 2 s. cuminstack_endpoints_by_slowness counts the endpoints with a known speed.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -50,6 +50,7 @@
     plan_deputies,
 )
 from cuminstack.fleet._speed_exchange import (
+    SpeedChange,
     SpeedPublisher,
     SpeedRecords,
     SpeedUpdate,
@@ -86,6 +87,7 @@
     'OrderAnswered',
     'OrderRouter',
     'Refused',
+    'SpeedChange',
     'SpeedPublisher',
     'SpeedRecords',
     'SpeedUpdate',
--- a/src/cuminstack/fleet/_speed_exchange.py
+++ b/src/cuminstack/fleet/_speed_exchange.py
@@ -4,6 +4,7 @@
 a few other figures in turn, for those that missed them.
 """
 
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
@@ -15,6 +16,8 @@
 _UPDATE_SECONDS: Final = 2.0
 #: Difference of the logarithm from which a figure has changed: 10%.
 _CHANGE: Final = 0.1
+#: Difference of the logarithm from which a change is logged: 25%.
+_LARGE_CHANGE: Final = 0.22
 #: Figures that an update has in addition, in turn.  All 350 endpoints of a
 #: large deployment come round in 22 s, in frames of 3 KB.
 _REPEATED: Final = 32
@@ -55,6 +58,29 @@
         return replace(self, table=SpeedTable(figures))
 
 
+@dataclass(frozen=True, slots=True)
+class SpeedChange:
+    """Change of a speed, compared with the figure that was sent before.
+
+    Args:
+        figure: The present figure.
+        before: Slowness of the figure before; 1.0 if there was none.
+    """
+
+    figure: SpeedFigure
+    before: float
+
+    @property
+    def size(self) -> float:
+        """Absolute value of the logarithm of the change."""
+        return abs(math.log(self.figure.slowness / self.before))
+
+    @property
+    def is_large(self) -> bool:
+        """Whether operators want to know of it."""
+        return self.size > _LARGE_CHANGE
+
+
 class SpeedPublisher:
     """Chooses the speeds that a dispatcher sends.
 
@@ -67,9 +93,15 @@
     def __init__(self, *, now: float) -> None:
         self._updated_at = now
         self._version = 0
+        self._largest_change: SpeedChange | None = None
         # The figures that were sent, the oldest first.
         self._sent: dict[EndpointId, SpeedFigure] = {}
 
+    @property
+    def largest_change(self) -> SpeedChange | None:
+        """The largest change of the last update; None if there was none."""
+        return self._largest_change
+
     def is_due(self, *, now: float) -> bool:
         """Return whether an update may be sent."""
         return now - self._updated_at >= _UPDATE_SECONDS
@@ -85,6 +117,7 @@
             now: Current time in seconds.
         """
         self._updated_at = now
+        self._largest_change = None
         if table.is_even and not self._sent:
             return None
         known = {figure.endpoint: figure for figure in table.figures}
@@ -92,6 +125,8 @@
             name: sent for name, sent in self._sent.items() if name in known
         }
         repeated = tuple(self._sent)[:_REPEATED]
+        changes = [self._change_of(figure) for figure in table.figures]
+        self._largest_change = max(changes, key=_size_of, default=None)
         figures = [
             figure
             for name, figure in known.items()
@@ -103,6 +138,10 @@
         self._version += 1
         return SpeedUpdate(term, self._version, SpeedTable(tuple(figures)))
 
+    def _change_of(self, figure: SpeedFigure) -> SpeedChange:
+        sent = self._sent.get(figure.endpoint)
+        return SpeedChange(figure, 1.0 if sent is None else sent.slowness)
+
     def _has_changed(self, figure: SpeedFigure) -> bool:
         sent = self._sent.get(figure.endpoint)
         if sent is None or sent.lifetime != figure.lifetime:
@@ -110,6 +149,10 @@
         return abs(sent.log - figure.log) > _CHANGE
 
 
+def _size_of(change: SpeedChange) -> float:
+    return change.size
+
+
 class SpeedRecords:
     """Speeds that dispatchers have sent, for the next one to start with."""
 
--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -111,3 +111,9 @@
         label='queue',
         read=lambda: role.waiting,
     )
+    exposition.add_gauge(
+        'cuminstack_endpoints_by_slowness',
+        'Endpoints whose speed is known, by slowness at most.',
+        label='at_most',
+        read=lambda: role.slowness_counts,
+    )
--- a/src/cuminstack/pool/_notes.py
+++ b/src/cuminstack/pool/_notes.py
@@ -11,6 +11,7 @@
 from cuminstack.pool._pace import LatenessMonitor
 from cuminstack.pool._progress import Verdict
 from cuminstack.pool._records import RunKey
+from cuminstack.pool._speeds import EndpointSpeeds
 
 #: Decimal places of times in seconds.
 _DIGITS: Final = 3
@@ -97,13 +98,18 @@
     )
 
 
-def moved_event(endpoint: Endpoint, run: Run, verdict: Verdict) -> LogEvent:
+def moved_event(
+    endpoint: Endpoint, run: Run, verdict: Verdict, speeds: EndpointSpeeds
+) -> LogEvent:
+    name = endpoint.report.endpoint
     return LogEvent(
         'task.moved',
         (
             ('key', run.key.task.job),
-            ('endpoint', endpoint.report.endpoint),
+            ('endpoint', name),
             ('verdict', verdict),
             ('percent', run.percent),
+            ('slowness', round(speeds.slowness(name), _DIGITS)),
+            ('uncertainty', round(speeds.uncertainty(name), _DIGITS)),
         ),
     )
--- a/src/cuminstack/pool/_progress.py
+++ b/src/cuminstack/pool/_progress.py
@@ -97,6 +97,11 @@
         self._speeds = speeds
         self._capacity_index = capacity_index
 
+    @property
+    def speeds(self) -> EndpointSpeeds:
+        """Speeds of the endpoints."""
+        return self._speeds
+
     def check_progress(
         self,
         endpoint: Endpoint,
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -148,7 +148,7 @@
         task.moves += 1
         task.failed_on = (*task.failed_on, endpoint.report.endpoint)
         endpoint.health.quarantine(now=now)
-        yield moved_event(endpoint, run, verdict)
+        yield moved_event(endpoint, run, verdict, self._assessor.speeds)
         yield self._stop(endpoint, run, now)
 
     def _apply_end(
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -120,9 +120,21 @@
         """Return the speeds that other instances are to know, if it is time."""
         if not self._publisher.is_due(now=now):
             return None
-        return self._publisher.update(
-            self.speeds(now=now), term=self._term, now=now
-        )
+        table = self.speeds(now=now)
+        update = self._publisher.update(table, term=self._term, now=now)
+        change = self._publisher.largest_change
+        if change is not None and change.is_large:
+            log_event(
+                'endpoint.speed_changed',
+                LogLevel.info,
+                endpoint=change.figure.endpoint,
+                slowness=change.figure.slowness,
+                before=change.before,
+                variance=change.figure.variance,
+                age=change.figure.age,
+                known=len(table.figures),
+            )
+        return update
 
     def stop(self) -> None:
         """Send no further orders."""
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -50,6 +50,8 @@
 _SESSION_BITS: Final = 48
 #: Seconds without a heartbeat after which an entry is sent none any more.
 _ENTRY_TIMEOUT_SECONDS: Final = 10.0
+#: Decimal places of ages in seconds in the log.
+_AGE_DIGITS: Final = 1
 
 
 class Candidate:
@@ -126,6 +128,13 @@
         """Number of jobs without a started task, by queue."""
         return {} if self._dispatcher is None else self._dispatcher.waiting
 
+    @property
+    def slowness_counts(self) -> Mapping[str, int]:
+        """Number of endpoints by the upper bound of their learned slowness."""
+        if self._dispatcher is None:
+            return {}
+        return self._dispatcher.speeds(now=steady_now()).distribution
+
     @property
     def departures(self) -> int:
         """Number of endpoints that left or began to drain since the start."""
@@ -313,12 +322,15 @@
             self._dispatcher.remove_endpoint(endpoint, now=now)
 
     def _start_dispatching(self, term: int, now: float) -> None:
+        table = self._speed_records.table(now=now)
         log_event(
             'dispatcher.leads',
             LogLevel.warning,
             term=term,
             controls=len(self._election.live(now=now)),
             endpoints=len(self._reports),
+            speeds=len(table.figures),
+            oldest_speed=round(table.max_age, _AGE_DIGITS),
         )
         self._dispatcher = ActiveDispatcher(
             term,
@@ -336,9 +348,7 @@
                 self._dispatcher.observe(report, now=now)
         # The mean of a service counts only the endpoints that are known, so
         # they come first.
-        self._dispatcher.restore_speeds(
-            self._speed_records.table(now=now), now=now
-        )
+        self._dispatcher.restore_speeds(table, now=now)
 
     def _covers(self, report: EndpointReport) -> bool:
         return not self._zones or report.zone in self._zones
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -125,6 +125,11 @@
         """Number of jobs without a started task, by queue."""
         return self._candidate.waiting
 
+    @property
+    def slowness_counts(self) -> Mapping[str, int]:
+        """Number of endpoints by the upper bound of their learned slowness."""
+        return self._candidate.slowness_counts
+
     @property
     def work(self) -> Mapping[str, float]:
         """Amount of each kind of work since the start."""
--- a/tests/test_speed_exchange.py
+++ b/tests/test_speed_exchange.py
@@ -13,6 +13,7 @@
 from cuminstack.fleet import (
     Election,
     EndpointReports,
+    SpeedChange,
     SpeedPublisher,
     SpeedRecords,
     SpeedUpdate,
@@ -118,6 +119,22 @@
         assert _figure('w99', 3) in update.table.figures
         assert len(update.table.figures) == 33
 
+    def test_large_changes_are_told(self) -> None:
+        publisher = SpeedPublisher(now=_NOW)
+        steps = ((1.6, 1, True), (1.7, 1.6, False), (0.6, 1.7, True))
+        for slowness, before, is_large in steps:
+            publisher.update(_table(1, slowness), term=1, now=_NOW)
+            change = publisher.largest_change
+            assert change == SpeedChange(_figure('w1', slowness), before)
+            assert change.is_large is is_large
+
+    def test_distribution(self) -> None:
+        table = _table(0.6, 0.65, 1, 1.6, 30)
+        counts = {
+            bound: count for bound, count in table.distribution.items() if count
+        }
+        assert counts == {'0.7': 2, '1.0': 1, '2.0': 1, 'inf': 1}
+
     # Guards against an instance that missed an update, and starts without it
     # minutes later.
     def test_all_figures_come_round(self) -> None:
