--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -49,6 +49,12 @@
     endpoint_capacity,
     plan_deputies,
 )
+from cuminstack.fleet._speed_exchange import (
+    SpeedChange,
+    SpeedPublisher,
+    SpeedRecords,
+    SpeedUpdate,
+)
 
 __all__ = (
     'HEARTBEAT_TIMEOUT_SECONDS',
@@ -81,6 +87,10 @@
     'OrderAnswered',
     'OrderRouter',
     'Refused',
+    'SpeedChange',
+    'SpeedPublisher',
+    'SpeedRecords',
+    'SpeedUpdate',
     'Submit',
     'Taken',
     'UnknownJobs',
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -15,6 +15,8 @@
     EntryBeat,
     EntryInfo,
     LeaderBeat,
+    SpeedRecords,
+    SpeedUpdate,
     Submit,
     choose_evenly_spaced,
 )
@@ -48,6 +50,8 @@
 _SESSION_BITS: Final = 48
 #: Seconds without a heartbeat after which an entry is sent none any more.
 _ENTRY_TIMEOUT_SECONDS: Final = 10.0
+#: Decimal places of ages in seconds in the log.
+_AGE_DIGITS: Final = 1
 
 
 class Candidate:
@@ -95,6 +99,7 @@
         self._entry_infos: dict[InstanceId, EntryInfo] = {}
         self._zones: frozenset[ZoneName] = frozenset()
         self._departures = 0
+        self._speed_records = SpeedRecords()
         now = steady_now()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
             report.endpoint: (report, now) for report in reports
@@ -123,6 +128,13 @@
         """Number of jobs without a started task, by queue."""
         return {} if self._dispatcher is None else self._dispatcher.waiting
 
+    @property
+    def slowness_counts(self) -> Mapping[str, int]:
+        """Number of endpoints by the upper bound of their learned slowness."""
+        if self._dispatcher is None:
+            return {}
+        return self._dispatcher.speeds(now=steady_now()).distribution
+
     @property
     def departures(self) -> int:
         """Number of endpoints that left or began to drain since the start."""
@@ -262,6 +274,19 @@
         for report, received_at in tuple(self._reports.values()):
             if now - received_at > _REPORT_LIFETIME_SECONDS:
                 self._reports.pop(report.endpoint)
+        self._speed_records.keep_only(self._reports)
+
+    def speed_update(self, *, now: float) -> SpeedUpdate | None:
+        """Return the speeds that other instances are to know, if it is time.
+
+        They are also recorded here, for when this instance leads again.
+        """
+        if self._dispatcher is None:
+            return None
+        update = self._dispatcher.speed_update(now=now)
+        if update is not None:
+            self._speed_records.receive(update, now=now)
+        return update
 
     def receive(self, sender: InstanceId, message: Any, *, now: float) -> None:
         """Handle a message of an entry or of a control instance."""
@@ -271,16 +296,14 @@
             case EndpointReports():
                 for report in message.reports:
                     self.observe(report, now=now)
+                if message.speeds is not None:
+                    self._speed_records.receive(message.speeds, now=now)
             case EndpointLeft():
                 self.remove_endpoint(EndpointId(message.endpoint), now=now)
-            case Dropped() if self._dispatcher is not None:
-                self._dispatcher.drop(sender, message, now=now)
             case Carry():
                 self._carrier.receive(sender, message, now=now)
-            case Carried() if self._dispatcher is not None:
-                self._dispatcher.receive_answers(sender, message, now=now)
-            case Submit() if self._dispatcher is not None:
-                self._submit(self._dispatcher, sender, message, now)
+            case _ if self._dispatcher is not None:
+                self._receive_work(self._dispatcher, sender, message, now)
 
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Record a heartbeat of an endpoint."""
@@ -299,12 +322,15 @@
             self._dispatcher.remove_endpoint(endpoint, now=now)
 
     def _start_dispatching(self, term: int, now: float) -> None:
+        table = self._speed_records.table(now=now)
         log_event(
             'dispatcher.leads',
             LogLevel.warning,
             term=term,
             controls=len(self._election.live(now=now)),
             endpoints=len(self._reports),
+            speeds=len(table.figures),
+            oldest_speed=round(table.max_age, _AGE_DIGITS),
         )
         self._dispatcher = ActiveDispatcher(
             term,
@@ -320,6 +346,9 @@
             is_recent = now - received_at < _REPORT_LIFETIME_SECONDS
             if is_recent and self._covers(report):
                 self._dispatcher.observe(report, now=now)
+        # The mean of a service counts only the endpoints that are known, so
+        # they come first.
+        self._dispatcher.restore_speeds(table, now=now)
 
     def _covers(self, report: EndpointReport) -> bool:
         return not self._zones or report.zone in self._zones
@@ -338,6 +367,22 @@
             case TokensLow():
                 self._election.renew_term(event.term, now=now)
 
+    def _receive_work(
+        self,
+        dispatcher: ActiveDispatcher,
+        sender: InstanceId,
+        message: Any,
+        now: float,
+    ) -> None:
+        """Handle a message that only a dispatcher gets."""
+        match message:
+            case Dropped():
+                dispatcher.drop(sender, message, now=now)
+            case Carried():
+                dispatcher.receive_answers(sender, message, now=now)
+            case Submit():
+                self._submit(dispatcher, sender, message, now)
+
     def _submit(
         self,
         dispatcher: ActiveDispatcher,
