--- a/tests/fakes_pool.py
+++ b/tests/fakes_pool.py
@@ -90,6 +90,21 @@
     )
 
 
+def make_endpoint(name: str, *labels: str) -> Endpoint:
+    """Return an endpoint of 64 cores that serves `SERVICES[0]`."""
+    report = EndpointReport(
+        endpoint=EndpointId(name),
+        lifetime=1,
+        sequence=1,
+        address=f'{name}:80',
+        zone=ZoneName('zone'),
+        service=SERVICES[0],
+        room=Resources(64_000, 32768),
+        labels=labels,
+    )
+    return Endpoint(report, token=1, number=1, on_change=lambda changed: None)
+
+
 class RandomPool:
     """Endpoints that change at random, and jobs to place on them."""
 
