Create fewer frozen objects for a sample of a speed

Estimates and comparisons are named tuples now, and a label that an endpoint reports twice counts once.

--- a/src/cuminstack/pool/_progress.py
+++ b/src/cuminstack/pool/_progress.py
@@ -3,9 +3,8 @@
 import enum
 import math
 from bisect import bisect_left
-from dataclasses import dataclass
 from itertools import islice
-from typing import Final
+from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
 from cuminstack.pool._endpoint import Endpoint, Run
@@ -55,8 +54,7 @@
     lagging = 'lagging'
 
 
-@dataclass(frozen=True, slots=True)
-class _Comparison:
+class _Comparison(NamedTuple):
     """A run time, compared with what is expected and with siblings elsewhere.
 
     Args:
--- a/src/cuminstack/pool/_speed_kinds.py
+++ b/src/cuminstack/pool/_speed_kinds.py
@@ -41,17 +41,17 @@
     def add(self, log: float, variance: float) -> None:
         """Add an estimate."""
         self.count += 1
-        self._change(log, variance, 1)
+        self._logs += log
+        self._squares += log * log
+        self._variances += variance
+        self.mean = self._logs / self.count
 
     def remove(self, log: float, variance: float) -> None:
         """Remove an estimate that was added."""
         self.count -= 1
-        self._change(log, variance, -1)
-
-    def _change(self, log: float, variance: float, sign: int) -> None:
-        self._logs += sign * log
-        self._squares += sign * log * log
-        self._variances += sign * variance
+        self._logs -= log
+        self._squares -= log * log
+        self._variances -= variance
         self.mean = self._logs / self.count if self.count else 0
 
 
@@ -105,7 +105,7 @@
         """Return the populations that an endpoint belongs to."""
         service = report.service
         millicores = report.room.millicores
-        labels = report.labels[:_MAX_LABELS] or ('',)
+        labels = dict.fromkeys(report.labels[:_MAX_LABELS]) or ('',)
         return Kinds(
             self._populations[service, 0, ''],
             tuple(
--- a/src/cuminstack/pool/_speeds.py
+++ b/src/cuminstack/pool/_speeds.py
@@ -16,7 +16,6 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
 from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
@@ -59,8 +58,7 @@
 _DIGITS: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
-class _Estimate:
+class _Estimate(NamedTuple):
     """Estimate for one lifetime of an endpoint.
 
     Args:
@@ -298,16 +296,15 @@
             variance=variance,
             updated_at=updated_at,
         )
-        self._replace(
-            name,
-            replace(
-                estimate, variance=estimate.variance_at(updated_at + figure.age)
-            ),
-        )
+        grown = estimate.variance_at(updated_at + figure.age)
+        self._replace(name, estimate._replace(variance=grown))
         return True
 
     def _replace(self, name: EndpointId, estimate: _Estimate) -> None:
-        self.forget(name)
+        known = self._estimates.get(name)
+        if known is not None:
+            known.kinds.remove(known.log, known.variance)
+        self._speeds.pop(name, None)
         self._samples += 1
         self._estimates[name] = estimate
         estimate.kinds.add(estimate.log, estimate.variance)
