Keep evacuations in the replicated value

Operators will order that nothing more is started in an availability zone, and what they are acknowledged must survive what the desired state survives. The value of the replicas now names the evacuated zones. A ballot carries the newest version, one change of the replica set and all evacuation orders that wait, as it carried only one change, and a storm of versions starved the others.

An order is always written, also one that changes nothing, so that an attempt that a minority accepted can't come into force after a later order was acknowledged. An order is given up after 0.9 s, before its operator retries.

Proposers that were refused wait at least half of the back-off, twice as long from the second time on, and until the other ballot has ended.

--- a/src/cuminstack/document/__init__.py
+++ b/src/cuminstack/document/__init__.py
@@ -11,6 +11,11 @@
     initial_state,
 )
 from cuminstack.document._document import OPERATION_TIMEOUT_SECONDS, Document
+from cuminstack.document._evacuations import (
+    NO_EVACUATIONS,
+    EvacuationOrder,
+    Evacuations,
+)
 from cuminstack.document._messages import (
     Accept,
     Accepted,
@@ -45,6 +50,7 @@
     'EMPTY_VALUE',
     'OPERATION_TIMEOUT_SECONDS',
     'FIRST_DISK',
+    'NO_EVACUATIONS',
     'NO_BALLOT',
     'Accept',
     'Accepted',
@@ -56,6 +62,8 @@
     'DiskId',
     'Document',
     'Done',
+    'EvacuationOrder',
+    'Evacuations',
     'InForce',
     'NewInForce',
     'Outcome',
--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -6,6 +6,12 @@
 
 from cuminstack.core import InstanceId, Send
 from cuminstack.document._acceptor import Acceptor
+from cuminstack.document._changes import Change, KnownValue, combine_changes
+from cuminstack.document._evacuations import (
+    NO_EVACUATIONS,
+    EvacuationOrder,
+    Evacuations,
+)
 from cuminstack.document._messages import (
     Accept,
     Accepted,
@@ -27,7 +33,7 @@
     Persist,
     Unavailable,
 )
-from cuminstack.document._proposer import BallotRun, Change, KnownValue
+from cuminstack.document._proposer import BallotRun
 from cuminstack.document._records import (
     EMPTY_VALUE,
     NO_BALLOT,
@@ -45,6 +51,10 @@
 _RESEND_SECONDS: Final = 0.3
 #: Seconds after which an operation without a quorum ends as `Unavailable`.
 OPERATION_TIMEOUT_SECONDS: Final = 2.5
+#: The same for an evacuation order.  After a second without an answer, its
+#: operator retries elsewhere; an attempt that is given up must not take effect
+#: after a later order of the operator.
+ORDER_TIMEOUT_SECONDS: Final = 0.9
 #: Seconds until a ballot settles a value that isn't known to be in force, or
 #: whose change of replicas is unfinished; meanwhile its proposer, or another
 #: instance, may do so.
@@ -58,7 +68,9 @@
 #: Ticket of operations that no caller waits for.
 _NO_TICKET: Final = 0
 #: Longest random back-off of a proposer that was refused because of a
-#: higher ballot, in seconds; about the time of two syncs.
+#: higher ballot, in seconds; about the time of two syncs.  From the second
+#: refusal in a row on it is twice as long.  The shortest back-off is half of
+#: it, as a ballot that is begun sooner stops the higher one halfway.
 _MAX_BACKOFF_SECONDS: Final = 0.06
 
 
@@ -98,6 +110,8 @@
         self._ballot_run: BallotRun | None = None
         self._resend_at: float = 0
         self._next_ballot_at: float = 0
+        # Whether the last ballot was given up because of a higher one.
+        self._was_refused = False
         # The newest value if it isn't settled, and when to settle it.
         self._unsettled_ballot = NO_BALLOT
         self._settle_at: float = 0
@@ -127,6 +141,19 @@
         """Whether the newest known replica set includes this replica."""
         return self._acceptor.replica in self.in_force.voters
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuations that are known to be in force."""
+        return Evacuations(self.revision, self.in_force.evacuations)
+
+    @property
+    def unsettled_evacuations(self) -> Evacuations:
+        """Those of a newer value that was only accepted, here at least."""
+        newest = self._newest_value
+        if newest.in_force:
+            return NO_EVACUATIONS
+        return Evacuations(newest.ballot.number, newest.value.evacuations)
+
     def submit(
         self,
         version: int,
@@ -138,6 +165,12 @@
         """Submit a document; a `Done` with the ticket gives the outcome."""
         return self._add(Change(version, body), ticket, now)
 
+    def order_evacuation(
+        self, order: EvacuationOrder, *, ticket: int, now: float
+    ) -> Effects:
+        """Start or withdraw an evacuation; a `Done` gives the outcome."""
+        return self._add(Change(orders=(order,)), ticket, now)
+
     def read(self, *, ticket: int, now: float) -> Effects:
         """Read the value in force from a majority of the replicas."""
         return self._add(Change(), ticket, now)
@@ -202,15 +235,20 @@
         known = self._known_outcome(change)
         if known is not None:
             return (Done(ticket, known),)
-        operation = Operation(ticket, change, now + OPERATION_TIMEOUT_SECONDS)
+        timeout = (
+            ORDER_TIMEOUT_SECONDS
+            if change.orders
+            else OPERATION_TIMEOUT_SECONDS
+        )
+        operation = Operation(ticket, change, now + timeout)
         self._operations.append(operation)
         return self.tick(now=now)
 
     def _known_outcome(self, change: Change) -> Outcome | None:
         """Return the outcome that the value in force implies, if any.
 
-        A read, a change of the replica set and a version above the one in
-        force need a ballot.
+        A read, a change of the replica set, an evacuation order and a version
+        above the one in force need a ballot.
         """
         value = self.in_force
         if not change.version or change.version > value.version:
@@ -225,10 +263,7 @@
         newest = self._newest_value
         if not newest.value.replicas:
             return ()
-        change = max(
-            (operation.change for operation in self._operations),
-            key=lambda each: (each.version, not each.is_read),
-        )
+        change = combine_changes(each.change for each in self._operations)
         self._ballot_operations = tuple(self._operations)
         number = max(self._highest_ballot.number, newest.ballot.number) + 1
         self._highest_ballot = Ballot(number, self._own, self._start)
@@ -267,7 +302,13 @@
         for operation in expired:
             self._operations.remove(operation)
             yield Done(operation.ticket, Unavailable())
-        if expired and not self._operations:
+        if not expired:
+            return
+        # An expired change that has not been proposed must not be proposed any
+        # more: its caller may have sent a later order to another instance.
+        run = self._ballot_run
+        is_proposed = run is not None and run.proposed is not None
+        if not (is_proposed and self._operations):
             self._ballot_run = None
 
     def _deliver(self, effects: Iterable[Effect], now: float) -> Effects:
@@ -316,9 +357,10 @@
     def _retry_ballot(self, now: float) -> Effects:
         """Give up the ballot, and begin a higher one after a random delay."""
         self._ballot_run = None
-        self._next_ballot_at = (
-            now + _MAX_BACKOFF_SECONDS * self._random_source.random()
-        )
+        longest = _MAX_BACKOFF_SECONDS * (2 if self._was_refused else 1)
+        share = (1 + self._random_source.random()) / 2
+        self._next_ballot_at = now + longest * share
+        self._was_refused = True
         return ()
 
     def _handle_promise(self, promise: Promise, now: float) -> Effects:
@@ -349,6 +391,7 @@
         if run is None or outcome is None:
             return ()
         self._ballot_run = None
+        self._was_refused = False
         effects: list[Effect] = list(self._learn(outcome))
         effects.extend(self._finish_operations(run.change))
         # A further ballot is needed before the incoming replica set votes
@@ -361,15 +404,15 @@
     def _finish_operations(self, proposed: Change) -> Iterable[Effect]:
         """Yield a `Done` for each operation that this ballot decided.
 
-        A read or a change of the replica set is decided only by a ballot
-        that proposed it and started after it was added.
+        A read, an evacuation order or a change of the replica set is decided
+        only by a ballot that started after it was added and included it.
         """
         value = self.in_force
         for operation in tuple(self._operations):
             change = operation.change
             outcome = self._known_outcome(change)
             is_in_ballot = operation in self._ballot_operations
-            if is_in_ballot and change == proposed and not change.version:
+            if is_in_ballot and proposed.decides(change):
                 outcome = InForce(value)
             if outcome is not None:
                 self._operations.remove(operation)
@@ -387,5 +430,7 @@
         if known.ballot <= self._in_force.ballot:
             return ()
         self._in_force = known
+        # The ballot that a back-off would disturb has ended.
+        self._next_ballot_at = 0
         self._highest_ballot = max(self._highest_ballot, known.ballot)
         return (NewInForce(known.value, self.chosen),)
--- a/src/cuminstack/document/_operations.py
+++ b/src/cuminstack/document/_operations.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from cuminstack.document._proposer import Change
+from cuminstack.document._changes import Change
 
 
 class RandomSource(Protocol):
--- a/src/cuminstack/document/_proposer.py
+++ b/src/cuminstack/document/_proposer.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 
 from cuminstack.core import Send
+from cuminstack.document._changes import Change, KnownValue
 from cuminstack.document._messages import (
     Accept,
     Accepted,
@@ -12,68 +13,6 @@
 from cuminstack.document._records import Ballot, Replica, Value
 
 
-@dataclass(frozen=True, slots=True)
-class KnownValue:
-    """A value and the ballot that it was accepted in.
-
-    Args:
-        ballot: The ballot.
-        value: The value.
-        in_force: Whether a quorum is known to have accepted it.
-    """
-
-    ballot: Ballot
-    value: Value
-    in_force: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A requested change of the value.
-
-    Args:
-        version: The version of the new document; 0 to keep the present one.
-        body: The new document.
-        joining: The replica to add to the replica set, if any.
-        replaced: The replica to remove in exchange; None to only add one.
-    """
-
-    version: int = 0
-    body: bytes = b''
-    joining: Replica | None = None
-    replaced: Replica | None = None
-
-    @property
-    def is_read(self) -> bool:
-        """Whether it changes nothing."""
-        return not self.version and self.joining is None
-
-    def apply(self, found: KnownValue) -> Value:
-        """Return the value to propose after the one that was found.
-
-        The replica set changes in two steps, as in the joint consensus of
-        Ongaro and Ousterhout: first both sets vote, and the new set votes
-        alone only once the joint configuration is in force.
-        """
-        value = found.value
-        if self.version > value.version:
-            value = replace(value, version=self.version, body=self.body)
-        if value.incoming and found.in_force:
-            return replace(value, replicas=value.incoming, incoming=())
-        if (
-            self.joining is None
-            or self.joining in value.voters
-            or value.incoming
-        ):
-            return value
-        return replace(value, incoming=self._next_replicas(value))
-
-    def _next_replicas(self, value: Value) -> tuple[Replica, ...]:
-        added = {self.joining} if self.joining else set()
-        kept = {each for each in value.replicas if each != self.replaced}
-        return tuple(sorted(kept | added))
-
-
 @dataclass(slots=True)
 class BallotRun:
     """The state of one ballot at its proposer.
@@ -148,8 +87,12 @@
     def _is_unchanged(self) -> bool:
         """Return whether the value that was found is in force as it is.
 
-        If so, the ballot ends without phase 2.
+        If so, the ballot ends without phase 2.  An evacuation order always
+        writes: an earlier attempt at the opposite order, which a minority may
+        have accepted, must not come into force after it was acknowledged.
         """
+        if self.change.orders:
+            return False
         holders = frozenset(
             replica
             for replica, ballot in self.accepted_ballots.items()
--- a/src/cuminstack/document/_records.py
+++ b/src/cuminstack/document/_records.py
@@ -5,7 +5,7 @@
 from functools import cached_property
 from typing import Final, NewType
 
-from cuminstack.core import InstanceId
+from cuminstack.core import InstanceId, ZoneName
 
 #: Identifies the disk of an instance.  An instance that lost its disk has
 #: lost its promises, so it returns as another replica.
@@ -53,12 +53,15 @@
         incoming: The next replica set, which votes on the next value as
             well and replaces `replicas` after that; empty unless the
             replica set is changing.
+        evacuations: The availability zones in which no task may be started,
+            in ascending order; earlier versions know none.
     """
 
     version: int
     body: bytes
     replicas: tuple[Replica, ...]
     incoming: tuple[Replica, ...] = ()
+    evacuations: tuple[ZoneName, ...] = ()
 
     @cached_property
     def digest(self) -> bytes:
--- a/tests/fakes_document.py
+++ b/tests/fakes_document.py
@@ -7,13 +7,14 @@
 from itertools import count
 from typing import Any
 
-from cuminstack.core import InstanceId, Send
+from cuminstack.core import InstanceId, Send, ZoneName
 from cuminstack.document import (
     FIRST_DISK,
     Chosen,
     DiskId,
     Document,
     Done,
+    EvacuationOrder,
     NewInForce,
     Outcome,
     Persist,
@@ -88,6 +89,17 @@
         )
         return ticket
 
+    def order(self, name: str, zone: str, *, starts: bool = True) -> int:
+        """Start or withdraw an evacuation and return the outcome's ticket."""
+        ticket = next(self._tickets)
+        order = EvacuationOrder(ZoneName(zone), starts)
+        document = self.documents[InstanceId(name)]
+        self.perform(
+            InstanceId(name),
+            document.order_evacuation(order, ticket=ticket, now=self.now),
+        )
+        return ticket
+
     def read(self, name: str) -> int:
         """Read through a majority and return the ticket of the outcome."""
         ticket = next(self._tickets)
