Start nothing at endpoints of evacuated zones

A dispatcher takes the evacuated zones and starts nothing at their endpoints, which keep their runs and leases, but are no capacity for admission. If all endpoints of a service are evacuated, its jobs that have not run are refused at once. After an evacuation is withdrawn, a cold endpoint is filled in proportion to the part of its warm-up that has passed; cold ones rank last as before.

--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -78,6 +78,8 @@
         self.name = name
         self.millicores = millicores
         self.faults = Faults()
+        self.zone = 'zone'
+        self.cold_seconds: float = 0
         self.rate = rate
         self.born = 1
         self.token = 0
@@ -101,9 +103,10 @@
             lifetime=self.born,
             sequence=self.sequence,
             address=self.name,
-            zone=ZoneName('zone'),
+            zone=ZoneName(self.zone),
             service=SERVICE,
             room=Resources(self.millicores, 32768),
+            cold_seconds=self.cold_seconds,
         )
 
     def crash(self, now: float) -> None:
--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -84,6 +84,23 @@
     return not job.may_have_run
 
 
+def find_evacuation_refusal(job: Job, load: Load) -> JobRefused | None:
+    """Return the refusal of a waiting job whose service is fully evacuated.
+
+    Args:
+        job: A waiting job.
+        load: Load ahead of the job.
+
+    Returns:
+        None if an endpoint outside the evacuated zones serves the job, or if a
+        task of the job may have run.
+    """
+    is_served = not load.capacity_index.is_evacuated(job.terms.service)
+    if is_served or job.may_have_run:
+        return None
+    return _refuse(job, RefusalReason.not_serving, _NO_ENDPOINT_RETRY_SECONDS)
+
+
 def make_overload_refusal(job: Job, load: Load, *, now: float) -> JobRefused:
     """Return a refusal for overload, with the estimated wait as retry delay."""
     wait = load.estimate_wait(job, now=now)
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -1,11 +1,11 @@
 """Dispatcher: decides which tasks start on which endpoints."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
 from itertools import count
 from typing import Final
 
-from cuminstack.core import EndpointId, InstanceId, JobKey
+from cuminstack.core import EndpointId, InstanceId, JobKey, ZoneName
 from cuminstack.pool._admission import Load
 from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._effects import (
@@ -17,6 +17,7 @@
     TokensLow,
 )
 from cuminstack.pool._endpoint import Endpoint, Phase
+from cuminstack.pool._evacuation import EvacuatedZones
 from cuminstack.pool._exchange import EndpointView, Hold, Refusal, StartRun
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Submission
@@ -76,6 +77,7 @@
         self._swept_at: float = 0
         self._numbers = count()
         self._capacity_index = CapacityIndex()
+        self._evacuated_zones = EvacuatedZones()
         self._last_contacts: dict[EndpointId, float] = {}
         queue = JobQueue(order)
         self._jobs = JobTable(queue, term=term)
@@ -146,6 +148,7 @@
                 token=token,
                 number=next(self._numbers),
                 on_change=self._capacity_index.mark_changed,
+                evacuated_zones=self._evacuated_zones,
             )
             self._endpoints[report.endpoint] = known
         if 0 < report.lifetime < known.lifetime.number:
@@ -159,6 +162,19 @@
             return tuple(self._reset_lifetime(known, report.lifetime, now))
         return tuple(self._watch.send_due_orders(known, now=now))
 
+    def evacuate(self, zones: Collection[ZoneName], *, now: float) -> Effects:
+        """Start nothing at endpoints of some zones; their runs go on.
+
+        Args:
+            zones: All zones that are evacuated from now on.
+            now: Current time in seconds.
+        """
+        changed = self._evacuated_zones.replace(zones, now=now)
+        for endpoint in self._endpoints.values():
+            if endpoint.report.zone in changed:
+                self._capacity_index.mark_changed(endpoint)
+        return self._assigner.assign(now=now) if changed else ()
+
     def leave(self, endpoint: EndpointId, *, now: float) -> Effects:
         """Handle the deregistration of an endpoint.
 
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -5,6 +5,7 @@
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
+from cuminstack.pool._evacuation import EvacuatedZones
 from cuminstack.pool._exchange import Hold
 from cuminstack.pool._health import EndpointHealth
 from cuminstack.pool._lifetime import Lifetime
@@ -77,6 +78,7 @@
         number: Serial number of the endpoint at this dispatcher; increasing.
         on_change: Called with the endpoint when its free resources, its health
             or its willingness to accept starts may have changed.
+        evacuated_zones: The evacuated zones of the dispatcher; None for none.
     """
 
     def __init__(
@@ -86,7 +88,11 @@
         token: int,
         number: int,
         on_change: Callable[['Endpoint'], None],
+        evacuated_zones: EvacuatedZones | None = None,
     ) -> None:
+        if evacuated_zones is None:
+            evacuated_zones = EvacuatedZones()
+        self._evacuated_zones = evacuated_zones
         self.number = number
         self._on_change = on_change
         self._report = report
@@ -167,8 +173,8 @@
         return (
             self._phase is Phase.ready
             and self._report.lifetime in {0, self.lifetime.number}
-            and not self._report.draining
             and not self._foreign_runs
+            and not self._is_closed
         )
 
     @property
@@ -176,13 +182,34 @@
         """Whether it accepts starts now, or will once it answers."""
         phase = self._phase
         is_lost = phase is Phase.silent or phase is Phase.gone
-        return not (is_lost or self._report.draining)
+        return not (is_lost or self._is_closed)
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether its availability zone is evacuated."""
+        return self._report.zone in self._evacuated_zones
+
+    @property
+    def _is_closed(self) -> bool:
+        """Whether it gets no starts until its heartbeat or an order changes."""
+        return self._report.draining or self.is_evacuated
 
     @property
     def leases_end_at(self) -> float:
         """Time by which the leases of all runs ordered so far have expired."""
         return self.lifetime.leases_end_at
 
+    def is_filled(self, *, now: float) -> bool:
+        """Return whether it gets no further run for now, as it is cold.
+
+        One run is always allowed.
+        """
+        if not self.runs:
+            return False
+        share = self._evacuated_zones.usable_share(self._report, now=now)
+        room = self._report.room.millicores
+        return share < 1 and self._used.millicores >= room * share
+
     def is_news(self, report: EndpointReport) -> bool:
         """Return whether a heartbeat is newer than the known one, or as new.
 
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -4,6 +4,7 @@
 
 from cuminstack.pool._admission import (
     Load,
+    find_evacuation_refusal,
     find_refusal,
     make_overload_refusal,
     should_be_shed,
@@ -38,14 +39,17 @@
         return self._refuse(job, refusal, now)
 
     def shed_waiting(self, *, now: float) -> Iterator[Effect]:
-        """Refuse waiting jobs that can no longer meet their deadlines.
+        """Refuse waiting jobs that will miss their deadlines.
+
+        Jobs whose service has all its endpoints in evacuated zones are refused
+        as well.
 
         Yields:
             The refusals and their log events.
         """
         for job in self._jobs.live:
-            if should_be_shed(job, now=now):
-                refusal = make_overload_refusal(job, self._load, now=now)
+            refusal = self._find_shedding(job, now)
+            if refusal is not None:
                 self._jobs.abandon(job, now=now)
                 self._jobs.discard_if_done(job)
                 yield from self._refuse(job, refusal, now)
@@ -54,6 +58,11 @@
         self._jobs.record_refusal(refusal.job, now=now)
         return (refusal, refusal_event(refusal, job, now=now))
 
+    def _find_shedding(self, job: Job, now: float) -> JobRefused | None:
+        if should_be_shed(job, now=now):
+            return make_overload_refusal(job, self._load, now=now)
+        return find_evacuation_refusal(job, self._load)
+
     def _find_refusal(self, job: Job, now: float) -> JobRefused | None:
         load = self._load
         if self._jobs.was_refused(job.submission):
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -45,6 +45,8 @@
         # will, including quarantined ones.
         self._offers: dict[int, tuple[str, int]] = {}
         self._offered: defaultdict[str, int] = defaultdict(int)
+        # Service of each endpoint that is known but evacuated.
+        self._evacuated: dict[int, str] = {}
         # Endpoints that are quarantined, or were.
         self._quarantined: dict[int, Endpoint] = {}
 
@@ -61,10 +63,17 @@
         return self._startable[service]
 
     def members(self, service: str) -> Collection[Endpoint]:
-        """Return the endpoints of a service that are not gone."""
+        """Return the endpoints of a service, except gone or evacuated ones."""
         self._apply_changes()
         return self._members[service].values()
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all known endpoints of a service are evacuated."""
+        self._apply_changes()
+        return not self._members[service] and (
+            service in self._evacuated.values()
+        )
+
     def capacity(self, service: str, *, now: float) -> int:
         """Return the millicores that accept starts now or will do so soon.
 
@@ -99,12 +108,17 @@
         number = endpoint.number
         name = endpoint.report.service
         known = self._services.get(number, name)
-        if known != name or endpoint.phase is Phase.gone:
+        is_gone = endpoint.phase is Phase.gone
+        is_member = not (is_gone or endpoint.is_evacuated)
+        if known != name or not is_member:
             self._members[known].pop(number, None)
             self._services.pop(number, None)
-        if endpoint.phase is not Phase.gone:
+        self._evacuated.pop(number, None)
+        if is_member:
             self._members[name][number] = endpoint
             self._services[number] = name
+        elif not is_gone:
+            self._evacuated[number] = name
 
     def _update_offer(self, endpoint: Endpoint) -> None:
         number = endpoint.number
@@ -137,7 +151,8 @@
     """Endpoints of a service that may get starts at a given time.
 
     Quarantined endpoints are included only if there are no others.  An endpoint
-    on probation that has a run is full, whatever room it has left.
+    on probation that has a run is full, whatever room it has left, and a cold
+    one of a zone that was evacuated is filled gradually.
 
     Args:
         capacity_index: Index of the endpoints.
@@ -214,7 +229,9 @@
 
     def _has_room(self, endpoint: Endpoint) -> bool:
         is_probed = endpoint.health.is_on_probation and bool(endpoint.runs)
-        return not is_probed and self._may_start(endpoint)
+        if is_probed or endpoint.is_filled(now=self._now):
+            return False
+        return self._may_start(endpoint)
 
     def _may_start(self, endpoint: Endpoint) -> bool:
         return not (
