Bring evacuations to all dispatchers

Control instances obey what is in force by their replica, and until that is settled what their disk has accepted, before they begin to dispatch. Entries get the value by its revision, as evacuations leave the version unchanged, and tell it in their heartbeats, from which deputies and dispatchers that are cut off from other control instances learn.

--- a/src/cuminstack/fleet/__init__.py
+++ b/src/cuminstack/fleet/__init__.py
@@ -27,6 +27,7 @@
 from cuminstack.fleet._dispatcher_client import DispatcherClient
 from cuminstack.fleet._dispatcher_service import DispatcherService
 from cuminstack.fleet._election import HEARTBEAT_TIMEOUT_SECONDS, Election
+from cuminstack.fleet._evacuations import KnownEvacuations
 from cuminstack.fleet._heartbeat_buffer import HeartbeatBuffer
 from cuminstack.fleet._messages import (
     ControlBeat,
@@ -74,6 +75,7 @@
     'Failure',
     'HeardDispatcher',
     'HeartbeatBuffer',
+    'KnownEvacuations',
     'LeaderBeat',
     'MayHaveRun',
     'NotRun',
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -103,6 +103,9 @@
         capacity: Number of endpoints that the entry can dispatch for; 0 if it
             isn't known.
         heard: Other control instances that dispatch and that the entry hears.
+        revision: Ballot number of the newest value in force that the entry
+            knows; None from entries of earlier versions, which don't tell.
+        evacuations: Availability zones that this value evacuates.
     """
 
     stamp: float
@@ -113,6 +116,8 @@
     zone: ZoneName = ZoneName('')
     capacity: int = 0
     heard: tuple[HeardDispatcher, ...] = ()
+    revision: int | None = None
+    evacuations: tuple[ZoneName, ...] = ()
 
 
 @message('fleet.submit')
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -1,12 +1,12 @@
 """Runs the dispatcher: issues orders and processes their answers."""
 
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from functools import partial
 from types import MappingProxyType
 from typing import Any, Final
 
-from cuminstack.core import EndpointId, InstanceId, Send
+from cuminstack.core import EndpointId, InstanceId, Send, ZoneName
 from cuminstack.fleet import (
     Carried,
     DispatcherService,
@@ -116,6 +116,12 @@
             self._dispatcher.begin_term(term, now=now)
         )
 
+    def evacuate(self, zones: Collection[ZoneName], *, now: float) -> None:
+        """Start nothing at endpoints of these zones, but of all others."""
+        self._perform_dispatcher_effects(
+            self._dispatcher.evacuate(zones, now=now)
+        )
+
     def observe(self, report: EndpointReport, *, now: float) -> None:
         """Record a heartbeat of an endpoint."""
         self._router.record_zone(report, now=now)
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from cuminstack.core import EndpointId, InstanceId, ZoneName
+from cuminstack.document import NO_EVACUATIONS, Evacuations
 from cuminstack.fleet import (
     Carried,
     Carry,
@@ -24,6 +25,7 @@
 from cuminstack.roles._active_dispatcher import ActiveDispatcher
 from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._clock import TICK_SECONDS, steady_now
+from cuminstack.roles._evacuations import ObeyedEvacuations
 from cuminstack.roles._ports import EndpointClient
 from cuminstack.roles._work import WorkLog
 from cuminstack.settings import LogLevel
@@ -94,14 +96,17 @@
         self._contact_since: dict[InstanceId, float] = {}
         self._entry_infos: dict[InstanceId, EntryInfo] = {}
         self._zones: frozenset[ZoneName] = frozenset()
+        self._evacuations = ObeyedEvacuations()
         self._departures = 0
         now = steady_now()
         self._reports: dict[EndpointId, tuple[EndpointReport, float]] = {
             report.endpoint: (report, now) for report in reports
         }
+        self._seen_zones = {report.zone for report, _ in self._reports.values()}
+        self._heard_endpoints_at = now + _FIRST_HEARTBEATS_SECONDS
         self._knows_endpoints_at = now
         if not self._reports:
-            self._knows_endpoints_at += _FIRST_HEARTBEATS_SECONDS
+            self._knows_endpoints_at = self._heard_endpoints_at
 
     @property
     def leads(self) -> bool:
@@ -138,6 +143,36 @@
         """The newest heartbeat of each known endpoint."""
         return tuple(report for report, _ in self._reports.values())
 
+    @property
+    def evacuated_zones(self) -> frozenset[ZoneName]:
+        """The availability zones in which this instance starts no task."""
+        return self._evacuations.zones
+
+    def has_seen_zone(self, zone: ZoneName) -> bool:
+        """Return whether any endpoint has reported a zone since the start."""
+        return zone in self._seen_zones
+
+    def has_heard_endpoints(self, *, now: float) -> bool:
+        """Return whether each reachable endpoint has sent a heartbeat."""
+        return now >= self._heard_endpoints_at
+
+    def learn_evacuations(
+        self,
+        in_force: Evacuations,
+        unsettled: Evacuations = NO_EVACUATIONS,
+        *,
+        now: float,
+    ) -> None:
+        """Learn the evacuations, and obey them if this instance dispatches.
+
+        Args:
+            in_force: Those of the newest value known to be in force.
+            unsettled: Those of a newer value that was only accepted here.
+            now: The present time.
+        """
+        self._evacuations.learn(in_force, unsettled)
+        self._obey_evacuations(now)
+
     def connected_entries(self, *, now: float) -> tuple[InstanceId, ...]:
         """Return the entries that sent a heartbeat recently."""
         return tuple(
@@ -288,6 +323,7 @@
         if report.draining and not (known and known[0].draining):
             self._departures += 1
         self._reports[report.endpoint] = (report, now)
+        self._seen_zones.add(report.zone)
         if self._dispatcher is not None and self._covers(report):
             self._dispatcher.observe(report, now=now)
 
@@ -316,11 +352,18 @@
             work=self._work,
             now=now,
         )
+        self._obey_evacuations(now)
         for report, received_at in tuple(self._reports.values()):
             is_recent = now - received_at < _REPORT_LIFETIME_SECONDS
             if is_recent and self._covers(report):
                 self._dispatcher.observe(report, now=now)
 
+    def _obey_evacuations(self, now: float) -> None:
+        if self._dispatcher is not None:
+            self._evacuations.obey(
+                self._dispatcher, lambda: self.reports, now=now
+            )
+
     def _covers(self, report: EndpointReport) -> bool:
         return not self._zones or report.zone in self._zones
 
@@ -374,5 +417,8 @@
             heard=beat.heard,
             now=now,
         )
+        # Before the heartbeat lets the dispatcher start the entry's jobs.
+        self._evacuations.learn_from_entry(beat)
+        self._obey_evacuations(now)
         if self._dispatcher is not None:
             self._dispatcher.receive_entry_beat(sender, beat, now=now)
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -7,8 +7,8 @@
 from dataclasses import replace
 from typing import Any, Final
 
-from cuminstack.core import EndpointId, InstanceId
-from cuminstack.document import Chosen, Outcome
+from cuminstack.core import EndpointId, InstanceId, ZoneName
+from cuminstack.document import Chosen, EvacuationOrder, Outcome, Unavailable
 from cuminstack.fleet import (
     HEARTBEAT_TIMEOUT_SECONDS,
     ControlBeat,
@@ -35,6 +35,7 @@
     DOCUMENT_MESSAGES,
     DesiredStateRunner,
 )
+from cuminstack.roles._evacuations import unserved_services
 from cuminstack.roles._guard import contain_errors
 from cuminstack.roles._ports import EndpointClient, RoleSettings
 from cuminstack.roles._rejected import log_rejected
@@ -129,6 +130,16 @@
         """Amount of each kind of work since the start."""
         return self._candidate.work
 
+    @property
+    def evacuated_zones(self) -> frozenset[ZoneName]:
+        """The availability zones in which this instance starts no task."""
+        return self._candidate.evacuated_zones
+
+    @property
+    def unserved_services(self) -> tuple[str, ...]:
+        """Services whose endpoints are all in evacuated zones."""
+        return unserved_services(self._candidate.reports, self.evacuated_zones)
+
     async def start(self) -> None:
         """Open links to the other control instances, and start to tick."""
         await self._mesh.start()
@@ -173,6 +184,33 @@
         """Query a majority for the desired state in force."""
         return await self._desired_state.read()
 
+    async def order_evacuation(self, order: EvacuationOrder) -> Outcome | None:
+        """Start or withdraw the evacuation of an availability zone.
+
+        Args:
+            order: The order.
+
+        Returns:
+            The outcome; None if the zone is unknown, which changes nothing.
+        """
+        if not self._knows_zone(order.zone):
+            if not self._candidate.has_heard_endpoints(now=steady_now()):
+                return Unavailable()
+            # An order that another instance accepted must not be refused.
+            outcome = await self.read()
+            if isinstance(outcome, Unavailable):
+                return outcome
+            if order.zone not in outcome.value.evacuations:
+                return None
+        return await self._desired_state.order_evacuation(order)
+
+    def _knows_zone(self, zone: ZoneName) -> bool:
+        return (
+            zone in self._settings.zones
+            or zone in self._desired_state.in_force.evacuations
+            or self._candidate.has_seen_zone(zone)
+        )
+
     def _send_to_candidates(self, reports: EndpointReports | None) -> None:
         """Forward heartbeats to the instances that may dispatch."""
         if reports is None:
@@ -206,6 +244,8 @@
     def _tick(self, now: float) -> None:
         self._ticks += 1
         was_leader = self._candidate.leads
+        # Before this instance may begin to dispatch.
+        self._learn_evacuations(now)
         self._candidate.tick(now=now)
         self._term_store.save_in_background(self._election.highest_term)
         self._desired_state.tick(self._controls)
@@ -218,6 +258,13 @@
         if self._ticks % _ENDPOINT_SAVE_TICKS == 0 or self._has_departures:
             self._save_endpoints(now)
 
+    def _learn_evacuations(self, now: float) -> None:
+        self._candidate.learn_evacuations(
+            self._desired_state.evacuations,
+            self._desired_state.unsettled_evacuations,
+            now=now,
+        )
+
     @property
     def _has_departures(self) -> bool:
         """Whether endpoints that left or drain are saved as usable ones."""
@@ -315,11 +362,16 @@
             self._mesh.send(sender, self._desired_state.latest_chosen)
 
     def _send_newer_state(self, entry: InstanceId, beat: EntryBeat) -> None:
-        if beat.version < self._desired_state.in_force.version:
+        has_older = beat.version < self._desired_state.in_force.version
+        # Earlier versions of entries don't tell the revision.
+        if beat.revision is not None:
+            has_older = beat.revision < self._desired_state.revision
+        if has_older:
             self._mesh.send(entry, self._desired_state.latest_chosen)
 
     def _broadcast(self, chosen: Chosen) -> None:
         """Send a value to control instances, and if leading, to entries."""
+        self._learn_evacuations(steady_now())
         self._mesh.send_all(self._controls, chosen)
         if self._candidate.leads:
             self._mesh.send_all(self._candidate.entries, chosen)
--- a/src/cuminstack/roles/_deputy.py
+++ b/src/cuminstack/roles/_deputy.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cuminstack.core import InstanceId
+from cuminstack.document import Evacuations
 from cuminstack.fleet import (
     ControlBeat,
     DeputyElection,
@@ -89,6 +90,10 @@
         """Stop dispatching and cancel the orders in progress."""
         self._candidate.stop()
 
+    def learn_evacuations(self, in_force: Evacuations, *, now: float) -> None:
+        """Learn the evacuations of a newer value that is in force."""
+        self._candidate.learn_evacuations(in_force, now=now)
+
     def receive_leader_beat(self, beat: LeaderBeat, *, now: float) -> None:
         """Handle a heartbeat of a control instance; ignore a deputy's."""
         if beat.from_deputy:
--- a/src/cuminstack/roles/_desired_state.py
+++ b/src/cuminstack/roles/_desired_state.py
@@ -13,6 +13,8 @@
     Chosen,
     Document,
     Done,
+    EvacuationOrder,
+    Evacuations,
     NewInForce,
     Outcome,
     Persist,
@@ -66,6 +68,7 @@
         self._pending_operations = PendingOperations()
         self._saves: set[asyncio.Task[None]] = set()
         self._join_at: float = 0
+        self._announced_zones = self._document.in_force.evacuations
 
     @property
     def in_force(self) -> Value:
@@ -82,6 +85,16 @@
         """Message for an instance with an older revision."""
         return self._document.chosen
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuations that are known to be in force."""
+        return self._document.evacuations
+
+    @property
+    def unsettled_evacuations(self) -> Evacuations:
+        """Those of a newer value that this replica has only accepted."""
+        return self._document.unsettled_evacuations
+
     async def submit(self, version: int, body: bytes) -> Outcome:
         """Submit a desired state and return the outcome."""
         ticket, outcome = self._pending_operations.begin()
@@ -91,6 +104,15 @@
         )
         return await outcome
 
+    async def order_evacuation(self, order: EvacuationOrder) -> Outcome:
+        """Start or withdraw an evacuation and return the outcome."""
+        ticket, outcome = self._pending_operations.begin()
+        now = steady_now()
+        self._perform(
+            self._document.order_evacuation(order, ticket=ticket, now=now),
+        )
+        return await outcome
+
     async def read(self) -> Outcome:
         """Query a majority for the desired state in force."""
         ticket, outcome = self._pending_operations.begin()
@@ -179,6 +201,14 @@
             replicas=len(update.value.replicas),
             incoming=len(update.value.incoming),
         )
+        if update.value.evacuations != self._announced_zones:
+            self._announced_zones = update.value.evacuations
+            log_event(
+                'evacuation.in_force',
+                LogLevel.info,
+                zones=','.join(update.value.evacuations),
+                revision=update.chosen.ballot.number,
+            )
         self._broadcast(update.chosen)
 
     async def _save(self, persist: Persist) -> None:
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -4,10 +4,11 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any, Final
 
 from cuminstack.core import InstanceId, JobKey, Send, ZoneName
-from cuminstack.document import Chosen, Value
+from cuminstack.document import NO_EVACUATIONS, Chosen, Evacuations, Value
 from cuminstack.fleet import (
     Answer,
     Answered,
@@ -68,6 +69,7 @@
         self._caller_counts: Counter[JobKey] = Counter()
         self._waiting: dict[str, int] = {}
         self._version = 0
+        self._evacuations = NO_EVACUATIONS
         self._ticks = 0
         self._ticker: asyncio.Task[None] | None = None
         self._mesh = Mesh(
@@ -226,7 +228,14 @@
             version=self._version,
             now=steady_now(),
         )
-        self._mesh.send(control, beat)
+        self._mesh.send(
+            control,
+            replace(
+                beat,
+                revision=self._evacuations.revision,
+                evacuations=self._evacuations.zones,
+            ),
+        )
 
     def _receive(self, sender: InstanceId, message: Any) -> None:
         now = steady_now()
@@ -238,7 +247,7 @@
                     self._dispatcher_client.receive(sender, message, now=now)
                 )
             case Chosen():
-                self._apply_value(message.value)
+                self._apply_value(message, now)
             case _:
                 self._deputy.receive(sender, message, now=now)
 
@@ -269,7 +278,12 @@
                 jobs=self._dispatcher_client.waiting,
             )
 
-    def _apply_value(self, value: Value) -> None:
+    def _apply_value(self, chosen: Chosen, now: float) -> None:
+        value = chosen.value
+        revision = chosen.ballot.number
+        if revision > self._evacuations.revision:
+            self._evacuations = Evacuations(revision, value.evacuations)
+            self._deputy.learn_evacuations(self._evacuations, now=now)
         if value.version > self._version:
             self._version = value.version
             log_event(
--- a/src/cuminstack/roles/_ports.py
+++ b/src/cuminstack/roles/_ports.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Protocol
 
-from cuminstack.core import InstanceId
+from cuminstack.core import InstanceId, ZoneName
 from cuminstack.pool import (
     EndpointView,
     Hold,
@@ -42,6 +42,7 @@
         data_folder: Folder of its persistent state; None without a disk.
         order: Name of the order in which waiting jobs are scheduled.
         cores: Processor time that it may use, in cores.
+        zones: Availability zones of the deployment, as far as configured.
     """
 
     own: InstanceId
@@ -52,3 +53,4 @@
     data_folder: Path | None
     order: str
     cores: float = 1
+    zones: frozenset[ZoneName] = frozenset()
