Take evacuation orders of operators

POST /api/Evacuation.Start/ZONE and .Finish/ZONE at control instances. A zone that neither the settings, an endpoint nor the value in force names is answered with 400, but with 503 while this instance may not know all endpoints.

--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -105,6 +105,18 @@
         label='instance',
         read=lambda: {own: role.endpoints},
     )
+    exposition.add_gauge(
+        'cuminstack_evacuated_zones',
+        'Availability zones that this instance knows to be evacuated.',
+        label='zone',
+        read=lambda: dict.fromkeys(role.evacuated_zones, 1),
+    )
+    exposition.add_gauge(
+        'cuminstack_unserved_services',
+        'Services whose endpoints are all in evacuated zones.',
+        label='instance',
+        read=lambda: {own: len(role.unserved_services)},
+    )
     exposition.add_gauge(
         'cuminstack_jobs_waiting',
         'Jobs of which nothing was started, by queue.',
--- a/src/cuminstack/platform/_operators.py
+++ b/src/cuminstack/platform/_operators.py
@@ -5,8 +5,8 @@
 
 from aiohttp import web
 
-from cuminstack.core import EndpointId
-from cuminstack.document import Conflict, Unavailable
+from cuminstack.core import EndpointId, ZoneName
+from cuminstack.document import Conflict, EvacuationOrder, Unavailable
 from cuminstack.logs import log_event
 from cuminstack.platform._desired_state import (
     InvalidState,
@@ -22,7 +22,7 @@
 
 
 class ControlApi:
-    """Receives heartbeats and deregistrations, and the desired state.
+    """Receives heartbeats, deregistrations, desired states and evacuations.
 
     A worker is an endpoint; the URLs of the platform call it an instance.
 
@@ -40,6 +40,12 @@
         app.router.add_post('/api/Instances.Deregister/{id}', self._deregister)
         app.router.add_post('/api/Config.Replace', self._replace_state)
         app.router.add_get('/api/Config.Read', self._read_state)
+        app.router.add_post(
+            '/api/Evacuation.Start/{zone}', self._start_evacuation
+        )
+        app.router.add_post(
+            '/api/Evacuation.Finish/{zone}', self._finish_evacuation
+        )
         return app
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
@@ -93,3 +99,30 @@
             body=outcome.value.body,
             content_type='application/json',
         )
+
+    async def _start_evacuation(self, request: web.Request) -> web.Response:
+        return await self._order_evacuation(request, starts=True)
+
+    async def _finish_evacuation(self, request: web.Request) -> web.Response:
+        return await self._order_evacuation(request, starts=False)
+
+    async def _order_evacuation(
+        self, request: web.Request, *, starts: bool
+    ) -> web.Response:
+        zone = ZoneName(request.match_info['zone'])
+        outcome = await self._role.order_evacuation(
+            EvacuationOrder(zone, starts=starts)
+        )
+        is_unknown = outcome is None
+        log_event(
+            'evacuation.ordered',
+            LogLevel.warning if is_unknown else LogLevel.info,
+            zone=zone,
+            starts=starts,
+            outcome='UnknownZone' if is_unknown else type(outcome).__name__,
+        )
+        if is_unknown:
+            return web.Response(status=HTTPStatus.BAD_REQUEST)
+        if isinstance(outcome, Unavailable):
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return web.json_response({})
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cuminstack.core import InstanceId
+from cuminstack.core import InstanceId, ZoneName
 from cuminstack.roles import RoleSettings
 from cuminstack.settings import Address, NotReadable
 
@@ -67,6 +67,8 @@
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # A table with the name of each availability zone as a key.
+    zones: Any = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +134,7 @@
         data_folder=Path(decoded.data_dir) if decoded.data_dir else None,
         order=_SCHEDULING_ORDER,
         cores=decoded.limits.cpu_share * decoded.limits.cores,
+        zones=_zone_names(decoded.zones),
     )
     return PlatformSettings(
         role=role,
@@ -143,6 +146,23 @@
     )
 
 
+def _zone_names(table: Any) -> frozenset[ZoneName]:
+    """Return the names of the availability zones of the deployment.
+
+    Args:
+        table: A table with the names as keys, or an array that holds names or
+            tables with a `name`.  Anything else names no zone, as a process
+            that doesn't depend on it must still start.
+    """
+    names: list[Any] = []
+    if isinstance(table, dict):
+        names.extend(table)
+    elif isinstance(table, list):
+        for row in table:
+            names.append(row.get('name') if isinstance(row, dict) else row)
+    return frozenset(ZoneName(name) for name in names if isinstance(name, str))
+
+
 def _peer_address(seed: str, port: int) -> InstanceId:
     """Return the peer address of a seed.
 
