Test evacuations from the operator to the starts

Guards against starts in an evacuated zone by dispatchers that run, take over, stand in as deputies or restart, against jobs that wait without any endpoint, and against a cold zone that is filled at once.

--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -74,12 +74,13 @@
 class FakeWorker:
     """A worker as the contract describes it, on simulated time."""
 
+    zone = 'zone'
+    cold_seconds: float = 0
+
     def __init__(self, name: str, millicores: int, *, rate: float) -> None:
         self.name = name
         self.millicores = millicores
         self.faults = Faults()
-        self.zone = 'zone'
-        self.cold_seconds: float = 0
         self.rate = rate
         self.born = 1
         self.token = 0
--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -357,7 +357,7 @@
     def _retry_ballot(self, now: float) -> Effects:
         """Give up the ballot, and begin a higher one after a random delay."""
         self._ballot_run = None
-        longest = _MAX_BACKOFF_SECONDS * (2 if self._was_refused else 1)
+        longest = _MAX_BACKOFF_SECONDS * (1 + self._was_refused)
         share = (1 + self._random_source.random()) / 2
         self._next_ballot_at = now + longest * share
         self._was_refused = True
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -162,53 +162,64 @@
             candidate.tick(now=100 + step * 0.02)
             dispatcher = candidate._dispatcher
             if dispatcher is not None:
-                (endpoint,) = dispatcher._dispatcher.endpoints
-                assert endpoint.is_evacuated
+                endpoints = dispatcher._dispatcher.endpoints
+                assert [each.is_evacuated for each in endpoints] == [True]
         assert candidate.leads
 
 
+async def _order(fleet: _Fleet, *, starts: bool) -> None:
+    order = EvacuationOrder(ZONE, starts=starts)
+    outcome = await fleet.control.order_evacuation(order)
+    assert isinstance(outcome, InForce)
+
+
+async def _follow_control(fleet: _Fleet) -> None:
+    await fleet.wait_until(
+        lambda: fleet.entries[0].dispatcher == fleet.control_name
+    )
+
+
+async def _check_refusal(fleet: _Fleet, name: str) -> None:
+    assert isinstance(await fleet.run_job(name), NotRun)
+
+
 @pytest.mark.asyncio
 class TestTakeover:
     """Evacuations over real links, at the same version of the desired state."""
 
-    # Guards against evacuations that are forgotten by a restarted control
-    # instance, or never reach a deputy.
-    async def test_restart_and_deputy(self, tmp_path: Path) -> None:
+    # Guards against evacuations that never reach a deputy.
+    async def test_deputy(self, tmp_path: Path) -> None:
         fleet = _Fleet(tmp_path)
-        order = EvacuationOrder(ZONE, starts=True)
-
-        async def is_refused(name: str) -> bool:
-            return isinstance(await fleet.run_job(name), NotRun)
-
         async with fleet.run():
-            await fleet.wait_until(
-                lambda: fleet.entries[0].dispatcher == fleet.control_name
-            )
+            await _follow_control(fleet)
             assert await fleet.run_job('before') == DONE
-            outcome = await fleet.control.order_evacuation(order)
-            assert isinstance(outcome, InForce)
-            assert await is_refused('evacuated')
+            await _order(fleet, starts=True)
+            await _check_refusal(fleet, 'evacuated')
             await fleet.wait_until(
                 lambda: all(
-                    entry._evacuations.zones
-                    and entry._deputy._candidate.reports
-                    for entry in fleet.entries
+                    each._evacuations.zones and each._deputy._candidate.reports
+                    for each in fleet.entries
                 )
             )
             await fleet.crash_control()
             await fleet.wait_until(
-                lambda: any(entry._deputy.leads for entry in fleet.entries)
+                lambda: any(each._deputy.leads for each in fleet.entries)
             )
-            assert await is_refused('deputy')
+            await _check_refusal(fleet, 'deputy')
+
+    # Guards against evacuations that a restarted control instance forgets, and
+    # against withdrawals that have no effect.
+    async def test_restart(self, tmp_path: Path) -> None:
+        fleet = _Fleet(tmp_path)
+        async with fleet.run():
+            await _follow_control(fleet)
+            await _order(fleet, starts=True)
+            await fleet.crash_control()
             await fleet.restart_control()
             assert fleet.control._desired_state.unsettled_evacuations.zones
-            await fleet.wait_until(
-                lambda: fleet.entries[0].dispatcher == fleet.control_name
-            )
-            assert await is_refused('restarted')
-            finish = replace(order, starts=False)
-            outcome = await fleet.control.order_evacuation(finish)
-            assert isinstance(outcome, InForce)
+            await _follow_control(fleet)
+            await _check_refusal(fleet, 'restarted')
+            await _order(fleet, starts=False)
             assert await fleet.run_job('after') == DONE
 
     # Guards against an unknown zone that is taken, and against a known one that
