--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -207,6 +207,19 @@
             )
             await _check_refusal(fleet, 'deputy')
 
+    # Guards against entries that missed an evacuation and never learn of it, as
+    # the version of the desired state is unchanged.
+    async def test_entry_that_starts_later(self, tmp_path: Path) -> None:
+        fleet = _Fleet(tmp_path)
+        fleet.control.observe(fleet.worker.report())
+        await fleet.control.start()
+        await _order(fleet, starts=True)
+        entry = fleet.entries[0]
+        await entry.start()
+        await fleet.wait_until(lambda: entry._evacuations.zones == (ZONE,))
+        await entry.stop()
+        await fleet.control.stop()
+
     # Guards against evacuations that a restarted control instance forgets, and
     # against withdrawals that have no effect.
     async def test_restart(self, tmp_path: Path) -> None:
@@ -215,8 +228,10 @@
             await _follow_control(fleet)
             await _order(fleet, starts=True)
             await fleet.crash_control()
+            restarted = fleet._make_control()
+            restarted._learn_evacuations(100)
+            assert restarted.evacuated_zones == {ZONE}
             await fleet.restart_control()
-            assert fleet.control._desired_state.unsettled_evacuations.zones
             await _follow_control(fleet)
             await _check_refusal(fleet, 'restarted')
             await _order(fleet, starts=False)
