--- a/bench/pool/_worker.py
+++ b/bench/pool/_worker.py
@@ -74,6 +74,9 @@
 class FakeWorker:
     """A worker as the contract describes it, on simulated time."""
 
+    zone = 'zone'
+    cold_seconds: float = 0
+
     def __init__(self, name: str, millicores: int, *, rate: float) -> None:
         self.name = name
         self.millicores = millicores
@@ -102,9 +105,10 @@
             lifetime=self.born,
             sequence=self.sequence,
             address=self.name,
-            zone=ZoneName('zone'),
+            zone=ZoneName(self.zone),
             service=SERVICE,
             room=Resources(self.millicores, 32768),
+            cold_seconds=self.cold_seconds,
         )
 
     def crash(self, now: float) -> None:
