Test processes with hostile clients

Clients that exceed the limits of header sections, or never end one, made processes exceed the memory of their machine. The tests start real entries and control instances with 160 MB and 400 descriptors and connect clients of nine kinds to each listener. The bounds are the limits in the settings.

--- /dev/null
+++ b/tests/processes/test_hostile_clients.py
@@ -0,0 +1,91 @@
+"""Tests that no client can exhaust a process or keep others from it.
+
+Real processes run with small limits of memory and descriptors.  The bounds
+are the limits of the machine in their settings, not measured figures.
+"""
+
+import asyncio
+from pathlib import Path
+from types import MappingProxyType
+from typing import Final
+
+import pytest
+from bench._polling import until
+
+from processes import hostile_clients as clients
+from processes.hostile_clients import Attack, HostileClients, ProcessFigures
+from processes.hostile_targets import (
+    MAX_FDS,
+    MEMORY_MB,
+    TIMEOUT_SECONDS,
+    RunningProgram,
+    run_program,
+)
+
+#: Descriptors that a process may open by itself in the meantime; fewer than
+#: any attack has clients.
+_OWN_DESCRIPTORS: Final = 4
+
+ATTACKS: Final = MappingProxyType(
+    {
+        'held headers': Attack(clients.held_headers, 300, is_cut_off=True),
+        'endless headers': Attack(clients.endless_headers, 20, is_cut_off=True),
+        'endless field': Attack(clients.endless_field, 20, is_cut_off=True),
+        'empty lines': Attack(clients.empty_lines, 20, is_cut_off=True),
+        'slow headers': Attack(clients.slow_headers, 600, is_cut_off=True),
+        'idle': Attack(clients.idle, 600),
+        'pipelined': Attack(clients.pipelined, 20),
+        'unfinished bodies': Attack(clients.unfinished_bodies, 500),
+        'endless bodies': Attack(clients.endless_bodies, 60),
+    },
+)
+LISTENERS: Final = (
+    ('entry', 'front'),
+    ('entry', 'ready'),
+    ('entry', 'metrics'),
+    ('control', 'control'),
+)
+
+pytestmark = pytest.mark.asyncio
+
+
+@pytest.mark.parametrize('kind', ATTACKS)
+@pytest.mark.parametrize(('role', 'listener'), LISTENERS)
+class TestHostileClients:
+    """Clients of one kind connect to one listener, and leave."""
+
+    # Guards against a process that is killed since its memory exceeds that
+    # of its machine, that runs out of descriptors, or that keeps those of
+    # clients that have left or should have been cut off.
+    async def test_process_survives(
+        self, role: str, listener: str, kind: str, tmp_path: Path
+    ) -> None:
+        attack = ATTACKS[kind]
+        async with run_program(role, tmp_path) as program:
+            figures = program.figures
+            before = figures.descriptors
+            with HostileClients(attack, program.targets[listener]) as hostile:
+                await asyncio.to_thread(hostile.run, figures)
+                if attack.is_cut_off:
+                    await _wait_until_returned(figures, before)
+            await _wait_until_returned(figures, before)
+            status = await program.request(listener)
+            _check(program)
+            assert status == 200
+
+
+async def _wait_until_returned(figures: ProcessFigures, before: int) -> None:
+    async def is_returned() -> bool:
+        return figures.descriptors <= before + _OWN_DESCRIPTORS
+
+    try:
+        await until(is_returned, seconds=TIMEOUT_SECONDS)
+    except TimeoutError:
+        pytest.fail(f'{figures.descriptors} descriptors open, {before} before')
+
+
+def _check(program: RunningProgram) -> None:
+    assert program.process.returncode is None
+    assert program.figures.memory_mb < MEMORY_MB
+    assert program.figures.peak_mb < MEMORY_MB
+    assert program.figures.max_descriptors < MAX_FDS
