Bound what clients of each listener can use

aiohttp parsed header sections as they came, without a bound on their total size or time, queued up to 32 pipelined requests of any size, and knew no limit on connections. So clients made a process exceed its memory and its descriptors.

Each header section is now received completely, within a bound, before it is parsed, and one request of a connection at a time is parsed. A table without I/O holds what connections do and use, and chooses which are closed when connections or memory run short. Limits are derived from limits.memoryMb and limits.maxFds. Header fields above 8,190 bytes are accepted. Compressed bodies are no longer expanded.

--- a/src/cuminstack/platform/_desired_state.py
+++ b/src/cuminstack/platform/_desired_state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cuminstack.platform._connection_limits import RequestLimits
 from cuminstack.platform._numbers import Milliseconds, Serial, Timestamp
 from cuminstack.pool import QueueTerms
 
@@ -40,6 +41,8 @@
 class _Limits(msgspec.Struct, rename='camel'):
     max_header_bytes: Serial = 0
     max_body_bytes: Serial = 0
+    header_timeout_ms: Milliseconds = 0
+    idle_timeout_ms: Milliseconds = 0
 
 
 class _State(msgspec.Struct, rename='camel'):
@@ -74,12 +77,14 @@
         max_header_bytes: Largest total size of request headers; 0 for no
             limit.
         max_body_bytes: Largest size of a request body; 0 for no limit.
+        request_limits: What the listener for callers must allow.
     """
 
     version: int
     queues: tuple[Queue, ...] = ()
     max_header_bytes: int = 0
     max_body_bytes: int = 0
+    request_limits: RequestLimits = RequestLimits()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue that a request addresses.
@@ -147,6 +152,11 @@
         queues=tuple(queues),
         max_header_bytes=decoded.limits.max_header_bytes,
         max_body_bytes=decoded.limits.max_body_bytes,
+        request_limits=RequestLimits(
+            header_bytes=decoded.limits.max_header_bytes,
+            header_seconds=decoded.limits.header_timeout_ms / _MS_PER_SECOND,
+            body_seconds=decoded.limits.idle_timeout_ms / _MS_PER_SECOND,
+        ),
     )
 
 
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -17,6 +17,7 @@
 )
 from cuminstack.logs import log_event
 from cuminstack.metrics import Exposition
+from cuminstack.platform._connection_limits import RequestLimits
 from cuminstack.platform._desired_state import (
     NO_STATE,
     InvalidState,
@@ -73,6 +74,10 @@
         is_ready = self._role is not None and self._role.is_ready
         return is_ready and not self._is_draining
 
+    def request_limits(self) -> RequestLimits:
+        """Return what the desired state allows requests."""
+        return self._state.request_limits
+
     def attach(self, role: EntryRole) -> None:
         """Set the role that runs the submitted jobs."""
         self._role = role
--- /dev/null
+++ b/src/cuminstack/platform/_listener.py
@@ -0,0 +1,120 @@
+"""State that the connections of a listener share, and what closes them."""
+
+import asyncio
+import select
+from collections.abc import Callable, Hashable
+from typing import Final, Protocol
+
+from cuminstack.logs import log_event
+from cuminstack.platform._connection_limits import (
+    ListenerLimits,
+    RequestLimits,
+)
+from cuminstack.platform._connections import Cause, ConnectionTable
+from cuminstack.settings import LogLevel
+
+#: Request line and separators of a header section within the limit of the
+#: desired state, which counts names and values only.
+_LINE_BYTES: Final = 16_384
+_HEADER_CAUSES: Final = frozenset((Cause.slow_header, Cause.pipelined))
+#: Bytes that are read at once, into a buffer that all connections share.
+_READ_BYTES: Final = 65_536
+
+
+class Connection(Hashable, Protocol):
+    """A connection, as far as a listener uses it."""
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor; -1 if the connection is closed."""
+
+    def cut(self, cause: Cause) -> None:
+        """Close the connection, after a refusal if that is possible."""
+
+    def expire(self, cause: Cause) -> None:
+        """Handle that the client was waited for too long."""
+
+
+class Listener:
+    """State that the connections of a listener share.
+
+    Args:
+        name: Name of the listener in logs and metrics.
+        limits: Limits of its connections.
+        required: Returns what the desired state allows requests.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        limits: ListenerLimits,
+        required: Callable[[], RequestLimits],
+    ) -> None:
+        self.name: Final = name
+        self.limits: Final = limits
+        self.table: Final[ConnectionTable[Connection]] = ConnectionTable(limits)
+        self.loop: Final = asyncio.get_running_loop()
+        self.read_buffer: Final = memoryview(bytearray(_READ_BYTES))
+        self._required = required
+
+    @property
+    def header_bytes(self) -> int:
+        """Largest header section, with empty lines before it."""
+        required = 2 * self._required().header_bytes + _LINE_BYTES
+        return max(self.limits.header_bytes, required)
+
+    def admit(self, connection: Connection) -> bool:
+        """Make room for a connection; return whether there is room."""
+        now = self.loop.time()
+        while not self.table.has_room():
+            surplus = self.table.find_surplus(is_quiet=_is_quiet, now=now)
+            if surplus is None:
+                return False
+            surplus.cut(Cause.idle)
+        self.table.open(connection, now=now)
+        return True
+
+    def remove(self, connection: Connection) -> None:
+        """Remove a connection that is closed."""
+        self.table.close(connection)
+
+    def await_client(self, connection: Connection, cause: Cause) -> None:
+        """Bound the time for which the client is waited for from now on."""
+        required = self._required()
+        if cause in _HEADER_CAUSES:
+            seconds = max(self.limits.header_seconds, required.header_seconds)
+        else:
+            seconds = max(self.limits.body_seconds, required.body_seconds)
+        self.table.start_wait(
+            connection, cause, seconds=seconds, now=self.loop.time()
+        )
+
+    def use_memory(self, connection: Connection, size: int) -> None:
+        """Add to a request's memory, and cut off clients if it is short."""
+        for user in self.table.use_memory(connection, size):
+            user.cut(Cause.memory)
+
+    def report(self, cause: Cause, peer: object) -> None:
+        """Count and log that a connection is closed or refused."""
+        self.table.count(cause)
+        log_event(
+            'connection.closed',
+            LogLevel.warning,
+            listener=self.name,
+            cause=cause,
+            peer=peer,
+            connections=self.table.connections,
+            bytes=self.table.used_bytes,
+        )
+
+    def sweep(self) -> None:
+        """Cut off clients that were waited for too long."""
+        for connection, cause in self.table.expired(now=self.loop.time()):
+            connection.expire(cause)
+
+
+def _is_quiet(connection: Connection) -> bool:
+    """Return whether nothing was received that isn't read yet."""
+    poll = select.poll()
+    poll.register(connection.descriptor, select.POLLIN)
+    return not poll.poll(0)
--- /dev/null
+++ b/src/cuminstack/platform/_listeners.py
@@ -0,0 +1,190 @@
+"""Starts the HTTP listeners of a process, and checks their connections."""
+
+import asyncio
+import os
+import socket
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from typing import Final
+
+from aiohttp import web
+
+from cuminstack.platform._connection_limits import (
+    ConnectionOptions,
+    MachineLimits,
+    RequestLimits,
+    derive_limits,
+    excess_descriptors,
+)
+from cuminstack.platform._listener import Listener
+from cuminstack.platform._server import LimitedConnection
+from cuminstack.settings import Address
+
+#: Interval of checks for clients that are waited for too long.
+_SWEEP_SECONDS: Final = 0.25
+#: Number of these checks between two counts of descriptors, which take 0.2 ms
+#: for a thousand of them.
+_SWEEPS_PER_COUNT: Final = 4
+_DESCRIPTORS: Final = '/proc/self/fd'
+#: Connections that are accepted at once.  Those beyond the limit are open for
+#: one iteration of the loop, out of the descriptors for files.
+_ACCEPTED_AT_ONCE: Final = 32
+#: Connections that wait until they are accepted.  The system drops those
+#: beyond it, and an ordinary client tries again a second later.
+_BACKLOG: Final = 1024
+_SIDE_NAMES: Final = frozenset(('ready', 'metrics'))
+
+
+def _no_requirements() -> RequestLimits:
+    return RequestLimits()
+
+
+class LimitedSite(web.BaseSite):
+    """Accepts the connections of a listener.
+
+    Args:
+        runner: Runner of the application.
+        listener: Limits the connections.
+        address: Address that it listens on.
+    """
+
+    __slots__ = ('_listener', '_address')
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        listener: Listener,
+        address: Address,
+    ) -> None:
+        super().__init__(runner)
+        self._listener = listener
+        self._address = address
+
+    @property
+    def name(self) -> str:
+        """Address that it listens on."""
+        return str(self._address)
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        await super().start()
+        server = self._runner.server
+        assert server is not None
+        listener = self._listener
+        host, port = self._address.host, self._address.port
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        accepting = socket.create_server((host, port), family=family)
+        self._server = await listener.loop.create_server(
+            lambda: LimitedConnection(server, listener),
+            sock=accepting,
+            backlog=_ACCEPTED_AT_ONCE,
+        )
+        # asyncio has set both numbers to the one of connections at once.
+        accepting.listen(_BACKLOG)
+
+
+class Listeners:
+    """The HTTP listeners of a process.
+
+    Args:
+        machine: Limits of the machine.
+        options: Limits on clients.
+    """
+
+    def __init__(
+        self, machine: MachineLimits, options: ConnectionOptions
+    ) -> None:
+        self._machine = machine
+        self._options = options
+        self._listeners: list[Listener] = []
+        self._sweeper: asyncio.Task[None] | None = None
+        self._sweeps = 0
+
+    @property
+    def connections(self) -> Mapping[str, int]:
+        """Number of open connections by listener."""
+        return {each.name: each.table.connections for each in self._listeners}
+
+    @property
+    def used_bytes(self) -> Mapping[str, int]:
+        """Estimated memory of unanswered requests, by listener."""
+        return {each.name: each.table.used_bytes for each in self._listeners}
+
+    @property
+    def closed(self) -> Mapping[str, int]:
+        """Number of closed and refused connections by listener and cause."""
+        return {
+            f'{each.name}_{cause}': count
+            for each in self._listeners
+            for cause, count in each.table.counts.items()
+        }
+
+    async def start(
+        self,
+        name: str,
+        app: web.Application,
+        address: Address,
+        *,
+        cancel_on_disconnect: bool = False,
+        shutdown_timeout_seconds: float,
+        required: Callable[[], RequestLimits] = _no_requirements,
+    ) -> web.AppRunner:
+        """Start a listener.
+
+        Args:
+            name: Name of the listener in logs and metrics.
+            app: The application that it serves.
+            address: Address that it listens on.
+            cancel_on_disconnect: Whether a handler is cancelled when its
+                client disconnects.
+            shutdown_timeout_seconds: Longest wait for requests in progress
+                when the listener closes; it may wait twice as long in total.
+            required: Returns what the desired state allows requests.
+
+        Returns:
+            The runner, whose `cleanup` closes the listener.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        is_side = name in _SIDE_NAMES
+        limits = derive_limits(self._machine, self._options, is_side=is_side)
+        listener = Listener(name, limits, required)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=cancel_on_disconnect,
+            shutdown_timeout=shutdown_timeout_seconds,
+        )
+        await runner.setup()
+        await LimitedSite(runner, listener, address).start()
+        self._listeners.append(listener)
+        if self._sweeper is None:
+            self._sweeper = asyncio.create_task(self._sweep_repeatedly())
+        return runner
+
+    def stop(self) -> None:
+        """Stop to check the connections, after all listeners were closed."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            self._sweeper = None
+
+    async def _sweep_repeatedly(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            for listener in self._listeners:
+                listener.sweep()
+            self._sweeps += 1
+            if self._sweeps % _SWEEPS_PER_COUNT == 0:
+                self._count_descriptors()
+
+    def _count_descriptors(self) -> None:
+        # Systems without this folder keep the limits of the settings.
+        with suppress(OSError):
+            used = len(os.listdir(_DESCRIPTORS))
+            excess = excess_descriptors(
+                used=used, connections=sum(self.connections.values())
+            )
+            for listener in self._listeners:
+                if listener.name not in _SIDE_NAMES:
+                    listener.table.reserve_descriptors(excess)
--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -8,6 +8,7 @@
 from cuminstack.fleet import Answer, Completed, MayHaveRun, NotRun
 from cuminstack.logs import LogOutput
 from cuminstack.metrics import CONTENT_TYPE, Exposition
+from cuminstack.platform._listeners import Listeners
 from cuminstack.roles import ControlRole, EntryRole
 
 #: The same as in `deploy/system.toml`.
@@ -67,6 +68,30 @@
     )
 
 
+def export_connection_metrics(
+    exposition: Exposition, listeners: Listeners
+) -> None:
+    """Export what the clients of all listeners use, and were refused."""
+    exposition.add_gauge(
+        'cuminstack_connections',
+        'Open connections of clients.',
+        label='listener',
+        read=lambda: listeners.connections,
+    )
+    exposition.add_gauge(
+        'cuminstack_request_bytes',
+        'Estimated memory of the requests that are not answered.',
+        label='listener',
+        read=lambda: listeners.used_bytes,
+    )
+    exposition.add_counter(
+        'cuminstack_connections_closed',
+        'Connections closed or refused to keep the limits, by cause.',
+        label='cause',
+        read=lambda: listeners.closed,
+    )
+
+
 def export_entry_metrics(
     exposition: Exposition,
     own: InstanceId,
--- a/src/cuminstack/platform/_operators.py
+++ b/src/cuminstack/platform/_operators.py
@@ -17,7 +17,8 @@
 from cuminstack.roles import ControlRole
 from cuminstack.settings import LogLevel
 
-#: Largest accepted desired state, in bytes; one with 700 routes takes 200 KB.
+#: Default of the largest accepted desired state, in bytes; one with 1,400
+#: routes takes 0.5 MB.
 _MAX_STATE_BYTES: Final = 8_388_608
 
 
@@ -28,14 +29,18 @@
 
     Args:
         role: The control role of this process.
+        max_state_bytes: Largest accepted desired state, in bytes.
     """
 
-    def __init__(self, role: ControlRole) -> None:
+    def __init__(
+        self, role: ControlRole, *, max_state_bytes: int = _MAX_STATE_BYTES
+    ) -> None:
         self._role = role
+        self._max_state_bytes = max_state_bytes
 
     def make_app(self) -> web.Application:
         """Return the application that serves workers and operators."""
-        app = web.Application(client_max_size=_MAX_STATE_BYTES)
+        app = web.Application(client_max_size=self._max_state_bytes)
         app.router.add_post('/api/Instances.Heartbeat/{id}', self._heartbeat)
         app.router.add_post('/api/Instances.Deregister/{id}', self._deregister)
         app.router.add_post('/api/Config.Replace', self._replace_state)
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -16,9 +16,15 @@
 from cuminstack.document import OPERATION_TIMEOUT_SECONDS
 from cuminstack.logs import log_event, log_to_standard_output
 from cuminstack.metrics import Exposition
+from cuminstack.platform._connection_limits import (
+    BadOption,
+    ConnectionOptions,
+)
 from cuminstack.platform._front import EntryApi
+from cuminstack.platform._listeners import Listeners
 from cuminstack.platform._metrics import (
     MetricsPage,
+    export_connection_metrics,
     export_control_metrics,
     export_entry_metrics,
     export_log_metrics,
@@ -62,41 +68,11 @@
 _LOG_DECIMALS: Final = 3
 
 
-async def _start_server(
-    app: web.Application,
-    address: Address,
-    *,
-    cancel_on_disconnect: bool = False,
-    shutdown_timeout_seconds: float = _SHUTDOWN_TIMEOUT_SECONDS,
-) -> web.AppRunner:
-    """Start an HTTP server.
-
-    Args:
-        app: The application that it serves.
-        address: Address that it listens on.
-        cancel_on_disconnect: Whether a handler is cancelled when its client
-            disconnects.
-        shutdown_timeout_seconds: Longest wait for requests in progress when
-            the server closes; it may wait twice as long in total.
-
-    Returns:
-        The runner, whose `cleanup` closes the server.
-    """
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        handler_cancellation=cancel_on_disconnect,
-        shutdown_timeout=shutdown_timeout_seconds,
-    )
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-    return runner
-
-
 async def serve_entry(
     settings: PlatformSettings,
     exposition: Exposition,
     stop_requested: asyncio.Event,
+    listeners: Listeners | None = None,
 ) -> None:
     """Run an entry until it is asked to stop, then drain it.
 
@@ -104,6 +80,8 @@
         settings: Settings of the process.
         exposition: Metrics of the process.
         stop_requested: Set to stop the entry.
+        listeners: Listeners of the process; by default with the default
+            limits on clients.
 
     Raises:
         BadSettings: An address that an entry listens on is missing.
@@ -120,12 +98,21 @@
     export_entry_metrics(exposition, settings.role.own, role)
     export_work_metrics(exposition, role)
     await role.start()
+    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
     runners = (
-        await _start_server(
-            api.make_app(), settings.caller_address, cancel_on_disconnect=True
+        await listeners.start(
+            'front',
+            api.make_app(),
+            settings.caller_address,
+            cancel_on_disconnect=True,
+            shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+            required=api.request_limits,
         ),
-        await _start_server(
-            api.make_readiness_app(), settings.readiness_address
+        await listeners.start(
+            'ready',
+            api.make_readiness_app(),
+            settings.readiness_address,
+            shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
         ),
     )
     await stop_requested.wait()
@@ -137,6 +124,7 @@
     role.leave(seconds=0)
     for runner in runners:
         await runner.cleanup()
+    listeners.stop()
     await role.stop()
     await client.close()
 
@@ -181,6 +169,7 @@
     settings: PlatformSettings,
     exposition: Exposition,
     stop_requested: asyncio.Event,
+    listeners: Listeners | None = None,
 ) -> None:
     """Run a control instance until it is asked to stop, then hand over.
 
@@ -188,6 +177,8 @@
         settings: Settings of the process.
         exposition: Metrics of the process.
         stop_requested: Set to stop the instance.
+        listeners: Listeners of the process; by default with the default
+            limits on clients.
 
     Raises:
         BadSettings: The address that it listens on is missing.
@@ -200,8 +191,11 @@
     export_control_metrics(exposition, settings.role.own, role)
     export_work_metrics(exposition, role)
     await role.start()
-    runner = await _start_server(
-        ControlApi(role).make_app(),
+    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
+    api = ControlApi(role, max_state_bytes=settings.machine.state_bytes)
+    runner = await listeners.start(
+        'control',
+        api.make_app(),
         settings.control_address,
         shutdown_timeout_seconds=min(
             _OPERATOR_REQUEST_SECONDS,
@@ -212,6 +206,7 @@
     role.leave()
     await asyncio.sleep(_HANDOVER_SECONDS)
     await runner.cleanup()
+    listeners.stop()
     await role.stop()
     await client.close()
 
@@ -225,8 +220,11 @@
     role: str,
     settings: PlatformSettings,
     metrics_port: int,
+    options: ConnectionOptions,
 ) -> None:
     exposition = Exposition()
+    listeners = Listeners(settings.machine, options)
+    export_connection_metrics(exposition, listeners)
     export_log_metrics(exposition, log_to_standard_output())
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -236,9 +234,9 @@
     loop.add_signal_handler(signal.SIGHUP, _log_sighup)
     log_event('instance.started', role=role, own=settings.role.own)
     metrics_runner = await _serve_metrics(
-        exposition, settings.host, metrics_port
+        exposition, listeners, settings.host, metrics_port
     )
-    await _ROLES[role](settings, exposition, stop_requested)
+    await _ROLES[role](settings, exposition, stop_requested, listeners)
     if metrics_runner is not None:
         await metrics_runner.cleanup()
     log_event('instance.ended', role=role, own=settings.role.own)
@@ -246,6 +244,7 @@
 
 async def _serve_metrics(
     exposition: Exposition,
+    listeners: Listeners,
     host: str,
     port: int,
 ) -> web.AppRunner | None:
@@ -254,7 +253,12 @@
         return None
     address = Address(host, port)
     try:
-        return await _start_server(MetricsPage(exposition).make_app(), address)
+        return await listeners.start(
+            'metrics',
+            MetricsPage(exposition).make_app(),
+            address,
+            shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+        )
     except OSError as error:
         log_event('metrics.unavailable', LogLevel.error, error=error)
         return None
@@ -264,23 +268,45 @@
     log_event('settings.kept', cause='SIGHUP')
 
 
-def run(role: str, *, metrics_port: int = 0, check: bool = False) -> None:
+def run(
+    role: str,
+    *,
+    metrics_port: int = 0,
+    check: bool = False,
+    header_bytes: int = ConnectionOptions.header_bytes,
+    header_seconds: float = ConnectionOptions.header_seconds,
+    body_seconds: float = ConnectionOptions.body_seconds,
+    memory_share: float = ConnectionOptions.memory_share,
+) -> None:
     """Run an instance until it receives SIGTERM.
 
     Args:
         role: Role of the instance, `entry` or `control`.
         metrics_port: Port of the metrics endpoint; 0 serves no metrics.
         check: Whether to check the settings file and exit.
+        header_bytes: Largest header section of a request, in bytes, if the
+            desired state allows no larger one.
+        header_seconds: Longest time for a header section, in seconds, if
+            the desired state allows no longer one.
+        body_seconds: Longest time without progress of a body or a response,
+            in seconds, if the desired state allows no longer one.
+        memory_share: Part of the machine's memory for requests.
     """
     if role not in _ROLES:
         _exit_with_error(f'the role must be entry or control, not: {role}')
     try:
         settings = load_settings(os.environ.get(SETTINGS_VARIABLE, ''))
-    except BadSettings as error:
+        options = ConnectionOptions(
+            header_bytes=header_bytes,
+            header_seconds=header_seconds,
+            body_seconds=body_seconds,
+            memory_share=memory_share,
+        )
+    except (BadSettings, BadOption) as error:
         _exit_with_error(str(error))
     if not check:
         gc.set_threshold(_GARBAGE_THRESHOLD)
-        asyncio.run(_run_role(role, settings, metrics_port))
+        asyncio.run(_run_role(role, settings, metrics_port, options))
 
 
 def _exit_with_error(message: str) -> NoReturn:
--- /dev/null
+++ b/src/cuminstack/platform/_server.py
@@ -0,0 +1,409 @@
+"""HTTP connections that bound what their clients can use.
+
+Each header section is received completely before aiohttp parses it, and one
+request of a connection at a time is parsed.
+"""
+
+import asyncio
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, Final, cast
+
+from aiohttp import hdrs, web
+from aiohttp.http import RawRequestMessage
+from aiohttp.web_protocol import RequestHandler
+
+from cuminstack.logs import log_event
+from cuminstack.platform._connections import Cause, body_cost, header_cost
+from cuminstack.platform._listener import Listener
+from cuminstack.settings import LogLevel
+
+_END_OF_HEADER: Final = b'\r\n\r\n'
+_LINE_BREAKS: Final = b'\r\n'
+#: What `_body_left` is for a chunked body.
+_UNKNOWN: Final = -1
+#: More fields than fit into a header section; its size is bounded instead.
+_MAX_FIELDS: Final = 1_000_000
+#: Longest time in which a refused client may read its response, and the
+#: largest number of bytes that are discarded meanwhile.  A connection that
+#: is closed with unread input is reset, and its response is lost.
+_LINGER_SECONDS: Final = 1.0
+_LINGER_BYTES: Final = 1_048_576
+#: Longest time for which aiohttp discards the rest of a body that was
+#: answered early.
+_DISCARD_SECONDS: Final = 2.0
+#: Bytes that are kept of requests behind one that is in progress: a complete
+#: request of the largest header section and body that are usual.
+_PIPELINED_BYTES: Final = 393_216
+_RETRY_AFTER: Final = 'Retry-After: 1'
+_REFUSALS: Final = MappingProxyType(
+    {
+        Cause.large_header: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        Cause.slow_header: HTTPStatus.REQUEST_TIMEOUT,
+        Cause.slow_body: HTTPStatus.REQUEST_TIMEOUT,
+    },
+)
+
+
+class LimitedConnection(RequestHandler, asyncio.BufferedProtocol):
+    """A connection of which aiohttp gets one complete header at a time.
+
+    Args:
+        server: The server of aiohttp whose requests it handles.
+        listener: Listener of the connection.
+    """
+
+    __slots__ = (
+        '_listener',
+        '_is_open',
+        '_unread',
+        '_scanned',
+        '_skipped',
+        '_is_begun',
+        '_is_busy',
+        '_is_handled',
+        '_body_left',
+        '_payload',
+        '_is_held',
+        '_linger_bytes',
+    )
+
+    def __init__(self, server: web.Server, listener: Listener) -> None:
+        size = listener.limits.memory_bytes
+        super().__init__(
+            server,
+            loop=listener.loop,
+            access_log=cast(Any, None),
+            lingering_time=_DISCARD_SECONDS,
+            max_line_size=size,
+            max_field_size=size,
+            max_headers=_MAX_FIELDS,
+            # A small compressed body would expand beyond all limits.
+            auto_decompress=False,
+        )
+        self._listener = listener
+        self._is_open = False
+        # Received bytes that aren't parsed yet; how many of them contain no
+        # end of a header section; and the empty lines skipped before them.
+        self._unread = bytearray()
+        self._scanned = 0
+        self._skipped = 0
+        # Whether a header section has begun; whether a request is parsed and
+        # not answered; and whether its handler has started.
+        self._is_begun = False
+        self._is_busy = False
+        self._is_handled = False
+        self._body_left = 0
+        self._payload: Any = None
+        self._is_held = False
+        self._linger_bytes = 0
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor of the connection; -1 if it is closed."""
+        if self.transport is None:
+            return -1
+        number: int = self.transport.get_extra_info('socket').fileno()
+        return number
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that asyncio reads into."""
+        return self._listener.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(bytes(self._listener.read_buffer[:nbytes]))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Serve the connection if the listener has room for it."""
+        self._is_open = self._listener.admit(self)
+        if self._is_open:
+            super().connection_made(transport)
+            return
+        peer = transport.get_extra_info('peername')
+        self._listener.report(Cause.connections, peer)
+        cast(asyncio.Transport, transport).abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection used."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._listener.remove(self)
+        # The request of a handler that goes on stays in memory.
+        if not self._is_handled:
+            self._listener.table.release(self)
+        self._unread = bytearray()
+        self._payload = None
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Bound the time in which the client takes no response."""
+        super().pause_writing()
+        self._listener.await_client(self, Cause.slow_reader)
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+        super().resume_writing()
+        if self._is_held:
+            self._listener.await_client(self, Cause.pipelined)
+        else:
+            self._listener.table.start_request(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes; without any, go on with parsed ones."""
+        if not data or self._close or self._force_close:
+            super().data_received(data)
+        elif self._linger_bytes:
+            self._discard(len(data))
+        elif self._body_left:
+            self._receive_body(data)
+        elif self._is_busy:
+            self._keep(data)
+        else:
+            self._receive_header(data)
+
+    def cut(self, cause: Cause) -> None:
+        """Close the connection, after a refusal if that is possible."""
+        if self._linger_bytes:
+            self._end()
+            return
+        if self._is_begun:
+            self._refuse(cause)
+            return
+        self._listener.report(cause, self.peername)
+        # The handler waits for the body, so it has written nothing yet.
+        if self._body_left and self._current_request is not None:
+            self._write_refusal(cause)
+        self._end()
+
+    def expire(self, cause: Cause) -> None:
+        """Handle that the client was waited for too long."""
+        if cause is Cause.slow_body and self._is_complete():
+            self._listener.table.start_request(self)
+        else:
+            self.cut(cause)
+
+    def log_exception(self, *args: Any, **kw: Any) -> None:
+        """Log an error of a handler, at the bounded rate of events."""
+        error = kw.get('exc_info')
+        if not isinstance(error, ConnectionError | web.RequestPayloadError):
+            log_event(
+                'request.failed',
+                LogLevel.warning,
+                listener=self._listener.name,
+                error=error,
+            )
+
+    async def _handle_request(self, *args: Any) -> Any:
+        self._is_handled = True
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            self._end_request()
+
+    def _end_request(self) -> None:
+        self._is_busy = False
+        self._is_handled = False
+        now = self._loop.time()
+        self._listener.table.end_request(self, now=now)
+        if not self._is_open or self._force_close or self._linger_bytes:
+            return
+        if self._body_left:
+            self._listener.await_client(self, Cause.slow_body)
+        elif self._unread:
+            unread = bytes(self._unread)
+            self._unread = bytearray()
+            self._receive_header(unread)
+        if self._is_held:
+            self._unhold()
+
+    def _keep(self, received: bytes) -> None:
+        """Keep what is received behind the request in progress."""
+        self._unread += received
+        if len(self._unread) > _PIPELINED_BYTES:
+            self._hold()
+        self._listener.use_memory(self, len(received))
+
+    def _receive_header(self, received: bytes) -> None:
+        added = len(received)
+        if self._unread:
+            self._unread += received
+            received = bytes(self._unread)
+        if received[0] in _LINE_BREAKS:
+            received = received.lstrip(_LINE_BREAKS)
+            self._skipped += added - len(received)
+        end = received.find(_END_OF_HEADER, self._scanned)
+        size = len(received) if end < 0 else end + len(_END_OF_HEADER)
+        if self._is_too_large(size + self._skipped):
+            self._refuse(Cause.large_header)
+        elif end < 0:
+            self._await_header(received, added)
+        else:
+            self._start_request(received[:size], received[size:])
+
+    def _is_too_large(self, size: int) -> bool:
+        limit = self._listener.limits.header_bytes
+        # The desired state is only asked for large ones.
+        return size > limit and size > self._listener.header_bytes
+
+    def _await_header(self, received: bytes, added: int) -> None:
+        # Empty lines alone, like one after a body, begin no request.
+        if not received:
+            return
+        if not self._unread:
+            self._unread += received
+        self._scanned = max(0, len(received) - len(_END_OF_HEADER) + 1)
+        if not self._is_begun:
+            self._is_begun = True
+            self._listener.await_client(self, Cause.slow_header)
+        self._listener.use_memory(self, added)
+
+    def _start_request(self, header: bytes, rest: bytes) -> None:
+        if self._is_begun:
+            self._listener.table.release(self)
+        self._is_begun = True
+        self._scanned = 0
+        self._skipped = 0
+        self._unread.clear()
+        cost = header_cost(len(header), header.count(b'\n'))
+        self._listener.use_memory(self, cost)
+        if self._linger_bytes:
+            return
+        self._is_begun = False
+        self._is_busy = True
+        self._listener.table.start_request(self)
+        RequestHandler.data_received(self, header)
+        self._measure_body()
+        if rest:
+            self.data_received(rest)
+        elif self._body_left:
+            self._listener.await_client(self, Cause.slow_body)
+
+    def _measure_body(self) -> None:
+        """Find out how much of the request is still to come."""
+        if not self._messages:
+            self._end()
+            return
+        message, payload = self._messages[-1]
+        self._payload = payload
+        if isinstance(message, RawRequestMessage) and not self._is_complete():
+            length = message.headers.get(hdrs.CONTENT_LENGTH)
+            if length is None:
+                # The end of the body isn't known before it is parsed, so a
+                # request that follows couldn't be told from it.
+                self._messages[-1] = (
+                    _without_keepalive(message),
+                    self._payload,
+                )
+            self._body_left = _UNKNOWN if length is None else int(length)
+
+    def _receive_body(self, received: bytes) -> None:
+        rest = b''
+        if self._body_left > 0:
+            rest = received[self._body_left :]
+            received = received[: self._body_left]
+            self._body_left -= len(received)
+        RequestHandler.data_received(self, received)
+        if self._body_left < 0 and self._is_complete():
+            self._body_left = 0
+        # A body that is answered already is discarded.
+        if self._is_busy:
+            self._listener.use_memory(self, body_cost(len(received)))
+        if self._force_close:
+            return
+        if self._body_left:
+            self._listener.await_client(self, Cause.slow_body)
+        elif self._is_busy:
+            self._listener.table.start_request(self)
+        else:
+            self._listener.table.end_request(self, now=self._loop.time())
+        if rest:
+            self.data_received(rest)
+
+    def _is_complete(self) -> bool:
+        return self._payload is None or bool(self._payload.is_eof())
+
+    def _refuse(self, cause: Cause) -> None:
+        """Refuse a request whose header section isn't parsed."""
+        listener = self._listener
+        listener.report(cause, self.peername)
+        self._unread = bytearray()
+        if self.transport is None:
+            return
+        self._linger_bytes = _LINGER_BYTES
+        now = self._loop.time()
+        listener.table.refuse(self, cause, seconds=_LINGER_SECONDS, now=now)
+        self._write_refusal(cause)
+        self.transport.write_eof()
+
+    def _write_refusal(self, cause: Cause) -> None:
+        if self.transport is not None:
+            self.transport.write(_refusal(cause))
+
+    def _discard(self, size: int) -> None:
+        self._linger_bytes -= size
+        if self._linger_bytes <= 0:
+            self._end()
+
+    def _end(self) -> None:
+        self._listener.remove(self)
+        self._listener.table.release(self)
+        transport = self.transport
+        self.force_close()
+        # A client that takes nothing would keep the connection open.
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+
+    def _hold(self) -> None:
+        """Stop reading, so that TCP makes the client wait.
+
+        While nothing is read, it isn't seen that the client leaves: what it
+        has sent before comes first.  So the time is bounded.
+        """
+        if not self._is_held:
+            self._is_held = True
+            self._listener.await_client(self, Cause.pipelined)
+            self._pause_transport_reading()
+
+    def _unhold(self) -> None:
+        """Read again, unless there is still too much unread."""
+        if len(self._unread) > _PIPELINED_BYTES:
+            self._listener.await_client(self, Cause.pipelined)
+            return
+        self._is_held = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        # aiohttp resumes when a body has been consumed.
+        if not self._is_held:
+            super()._resume_transport_reading()
+
+
+def _without_keepalive(message: RawRequestMessage) -> RawRequestMessage:
+    should_close = True
+    return RawRequestMessage(
+        message.method,
+        message.path,
+        message.version,
+        message.headers,
+        message.raw_headers,
+        should_close,
+        message.compression,
+        message.upgrade,
+        message.chunked,
+        message.url,
+    )
+
+
+def _refusal(cause: Cause) -> bytes:
+    status = _REFUSALS.get(cause, HTTPStatus.SERVICE_UNAVAILABLE)
+    lines = [
+        f'HTTP/1.1 {status.value} {status.phrase}',
+        'Content-Length: 0',
+        'Connection: close',
+    ]
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(_RETRY_AFTER)
+    return '\r\n'.join((*lines, '', '')).encode()
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -1,5 +1,6 @@
 """Reads and validates the settings file of a process."""
 
+import resource
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -8,6 +9,7 @@
 import msgspec
 
 from cuminstack.core import InstanceId
+from cuminstack.platform._connection_limits import MachineLimits
 from cuminstack.roles import RoleSettings
 from cuminstack.settings import Address, NotReadable
 
@@ -25,6 +27,13 @@
 _Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 #: More cores than any machine has.
 _MAX_CORES: Final = 10000
+#: A process takes 50 MB before its first request; a tebibyte is more than any
+#: machine has.
+_MIN_MEMORY_MB: Final = 64
+_MAX_MEMORY_MB: Final = 1_048_576
+#: 200 descriptors are for files.
+_MIN_DESCRIPTORS: Final = 256
+_MAX_DESCRIPTORS: Final = 1_048_576
 #: Longest grace period in seconds: a day.
 _MAX_GRACE_SECONDS: Final = 86400
 
@@ -46,6 +55,14 @@
     # Share of a core, and how many times as fast as usual it is.
     cpu_share: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1
     cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1
+    # Memory in mebibytes, and open files and connections together; by
+    # default what the system allows the process.
+    memory_mb: Annotated[
+        float, msgspec.Meta(ge=_MIN_MEMORY_MB, le=_MAX_MEMORY_MB)
+    ] = MachineLimits.memory_mb
+    max_fds: Annotated[
+        int, msgspec.Meta(ge=_MIN_DESCRIPTORS, le=_MAX_DESCRIPTORS)
+    ] = _MAX_DESCRIPTORS
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
@@ -83,6 +100,7 @@
         control_address: Listen address for workers and operators; None for
             an entry.
         grace_seconds: Seconds from SIGTERM until the process is killed.
+        machine: Limits of the machine.
     """
 
     role: RoleSettings
@@ -91,6 +109,7 @@
     readiness_address: Address | None
     control_address: Address | None
     grace_seconds: float
+    machine: MachineLimits = MachineLimits()
 
 
 def load_settings(path: str) -> PlatformSettings:
@@ -140,9 +159,19 @@
         readiness_address=_parse_address(decoded.listen_addrs.ready),
         control_address=_parse_address(decoded.listen_addrs.control),
         grace_seconds=decoded.bounds.grace_s,
+        machine=MachineLimits(
+            memory_mb=decoded.limits.memory_mb,
+            descriptors=min(decoded.limits.max_fds, _process_descriptors()),
+        ),
     )
 
 
+def _process_descriptors() -> int:
+    """Return how many descriptors the system allows this process."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return _MAX_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
+
+
 def _peer_address(seed: str, port: int) -> InstanceId:
     """Return the peer address of a seed.
 
