Test limited connections, and one process under all attacks

The tests of hostile clients start a process for each listener instead of one for each attack, which must survive all of them in turn; clients and bounds are unchanged.

A body that exceeds the memory before its handler has started is now answered with 503 instead of nothing; found by test_memory.

--- a/src/cuminstack/platform/_server.py
+++ b/src/cuminstack/platform/_server.py
@@ -172,8 +172,9 @@
             self._refuse(cause)
             return
         self._listener.report(cause, self.peername)
-        # The handler waits for the body, so it has written nothing yet.
-        if self._body_left and self._current_request is not None:
+        # A handler that waits for the body has written nothing yet.
+        is_waiting = self._is_busy and not self._is_handled
+        if self._body_left and (is_waiting or self._current_request):
             self._write_refusal(cause)
         self._end()
 
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
-from pathlib import Path
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Final
 
 import pytest
+import pytest_asyncio
 from bench._polling import until
 
 from processes import hostile_clients as clients
@@ -46,32 +48,46 @@
     ('control', 'control'),
 )
 
-pytestmark = pytest.mark.asyncio
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+
+@dataclass(frozen=True, slots=True)
+class _Victim:
+    program: RunningProgram
+    listener: str
+    # Descriptors that were open before the first attack.
+    descriptors: int
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module', params=LISTENERS)
+async def victim(
+    request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
+) -> AsyncIterator[_Victim]:
+    """One process for all attacks on a listener, which must survive all."""
+    role, listener = request.param
+    async with run_program(role, tmp_path_factory.mktemp(role)) as program:
+        yield _Victim(program, listener, program.figures.descriptors)
 
 
 @pytest.mark.parametrize('kind', ATTACKS)
-@pytest.mark.parametrize(('role', 'listener'), LISTENERS)
 class TestHostileClients:
     """Clients of one kind connect to one listener, and leave."""
 
     # Guards against a process that is killed since its memory exceeds that
     # of its machine, that runs out of descriptors, or that keeps those of
     # clients that have left or should have been cut off.
-    async def test_process_survives(
-        self, role: str, listener: str, kind: str, tmp_path: Path
-    ) -> None:
+    async def test_process_survives(self, victim: _Victim, kind: str) -> None:
         attack = ATTACKS[kind]
-        async with run_program(role, tmp_path) as program:
-            figures = program.figures
-            before = figures.descriptors
-            with HostileClients(attack, program.targets[listener]) as hostile:
-                await asyncio.to_thread(hostile.run, figures)
-                if attack.is_cut_off:
-                    await _wait_until_returned(figures, before)
-            await _wait_until_returned(figures, before)
-            status = await program.request(listener)
-            _check(program)
-            assert status == 200
+        program, listener = victim.program, victim.listener
+        figures = program.figures
+        with HostileClients(attack, program.targets[listener]) as hostile:
+            await asyncio.to_thread(hostile.run, figures)
+            if attack.is_cut_off:
+                await _wait_until_returned(figures, victim.descriptors)
+        await _wait_until_returned(figures, victim.descriptors)
+        status = await program.request(listener)
+        _check(program)
+        assert status == 200
 
 
 async def _wait_until_returned(figures: ProcessFigures, before: int) -> None:
--- /dev/null
+++ b/tests/test_platform_server.py
@@ -0,0 +1,292 @@
+"""Requests on limited connections, over loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager, suppress
+from itertools import repeat
+
+import pytest
+from aiohttp import web
+from bench._polling import until
+from bench._ports import LOOPBACK, free_ports
+
+from cuminstack.platform._connection_limits import (
+    ConnectionOptions,
+    MachineLimits,
+    RequestLimits,
+)
+from cuminstack.platform._listeners import Listeners
+from cuminstack.settings import Address
+
+TIMEOUT_SECONDS = 20
+HEAD = b'Host: h.example\r\n'
+
+CHUNKED = (
+    b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s'
+    b'\r\n5\r\n12345\r\n0\r\n\r\n'
+) % HEAD
+COMPRESSED = (
+    b'POST /a HTTP/1.1\r\nContent-Encoding: gzip\r\n%s'
+    b'Content-Length: 3\r\n\r\nabc'
+) % HEAD
+
+pytestmark = pytest.mark.asyncio
+
+
+class _Harness:
+    """A listener, whose handler answers with the size of the request."""
+
+    def __init__(
+        self,
+        options: ConnectionOptions,
+        machine: MachineLimits,
+        required: RequestLimits,
+    ) -> None:
+        self.listeners = Listeners(machine, options)
+        self.address = Address(LOOPBACK, *free_ports(1))
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.started = 0
+        self.cancelled = 0
+        self._required = required
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        app = web.Application(client_max_size=0)
+        app.router.add_route('*', '/early', self._answer_early)
+        app.router.add_route('*', '/{path:.*}', self._answer)
+        runner = await self.listeners.start(
+            'front',
+            app,
+            self.address,
+            cancel_on_disconnect=True,
+            shutdown_timeout_seconds=0.1,
+            required=lambda: self._required,
+        )
+        try:
+            yield
+        finally:
+            await runner.cleanup()
+            self.listeners.stop()
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+
+    async def send(self, *parts: bytes, count: int = 1) -> list[bytes]:
+        """Send parts of requests one by one, and return the responses."""
+        reader, writer = await self.connect()
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            responses = [await read_response(reader) for _ in range(count)]
+        writer.close()
+        return responses
+
+    async def wait_closed(self, cause: str) -> None:
+        async def is_closed() -> bool:
+            return cause in self.listeners.closed
+
+        await until(is_closed, seconds=TIMEOUT_SECONDS)
+
+    async def _answer_early(self, request: web.Request) -> web.Response:
+        return web.Response(text='early')
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        self.started += 1
+        size = len(await request.read())
+        try:
+            await self.may_answer.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        count = sum(len(field) for _, field in request.raw_headers)
+        return web.Response(text=f'{request.path} {count} {size}')
+
+
+async def read_response(reader: asyncio.StreamReader) -> bytes:
+    """Return the status and the body of the next response."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    size = 0
+    for line in head.lower().splitlines():
+        if line.startswith(b'content-length:'):
+            size = int(line.split(b':')[1])
+    return b'%s %s' % (head.split()[1], await reader.readexactly(size))
+
+
+def make_harness(
+    machine: MachineLimits | None = None,
+    required: RequestLimits | None = None,
+    **options: float,
+) -> _Harness:
+    return _Harness(
+        ConnectionOptions(**options),  # type: ignore[arg-type]
+        machine or MachineLimits(),
+        required or RequestLimits(),
+    )
+
+
+def get(path: str, *fields: bytes) -> bytes:
+    lines = b''.join(b'%s\r\n' % field for field in fields)
+    return b'GET %s HTTP/1.1\r\n%s%s\r\n' % (path.encode(), HEAD, lines)
+
+
+def post(path: str, body: bytes) -> bytes:
+    return b'POST %s HTTP/1.1\r\nContent-Length: %d\r\n%s\r\n%s' % (
+        path.encode(),
+        len(body),
+        HEAD,
+        body,
+    )
+
+
+def bytewise(text: bytes) -> Iterable[bytes]:
+    return (text[number : number + 1] for number in range(len(text)))
+
+
+class TestRequests:
+    """Requests within the limits are served as before."""
+
+    # Guards against requests that are lost or misread where their parts
+    # arrive separately or together.
+    async def test_parts(self) -> None:
+        harness = make_harness()
+        async with harness.run():
+            whole = await harness.send(post('/a', b'12345'))
+            parts = await harness.send(*bytewise(post('/a', b'12345')))
+            early = await harness.send(b'\r\n', b'\r\n', post('/a', b'12345'))
+        assert whole == parts == early == [b'200 /a 10 5']
+
+    async def test_pipelined(self) -> None:
+        harness = make_harness()
+        requests = b''.join(
+            (post('/a', b'1'), get('/b'), b'\r\n', post('/c', b'123'))
+        )
+        expected = [b'200 /a 10 1', b'200 /b 9 0', b'200 /c 10 3']
+        async with harness.run():
+            for parts in ([requests], bytewise(requests)):
+                assert await harness.send(*parts, count=3) == expected
+
+    # Guards against bytes behind a body that is answered before it is read.
+    async def test_unread_body(self) -> None:
+        harness = make_harness()
+        parts = (post('/early', b'x' * 300_000), get('/b'))
+        async with harness.run():
+            assert await harness.send(*parts, count=2) == [
+                b'200 early',
+                b'200 /b 9 0',
+            ]
+
+    async def test_chunked_body(self) -> None:
+        harness = make_harness()
+        async with harness.run():
+            for parts in ([CHUNKED], bytewise(CHUNKED)):
+                assert await harness.send(*parts) == [b'200 /a 16 5']
+
+    # Guards against the parser's own limits: 8,190 bytes and 128 fields.
+    async def test_header_within_the_limit(self) -> None:
+        harness = make_harness(required=RequestLimits(header_bytes=200_000))
+        fields = repeat(b'X: a', 2000)
+        async with harness.run():
+            large = await harness.send(get('/a', b'X: %s' % (b'a' * 199_000)))
+            many = await harness.send(get('/a', *fields))
+        assert large == [b'200 /a 199009 0']
+        assert many == [b'200 /a 2009 0']
+
+    # Guards against a small body that expands beyond all limits.
+    async def test_compressed_body_is_not_expanded(self) -> None:
+        harness = make_harness()
+        async with harness.run():
+            assert await harness.send(COMPRESSED) == [b'200 /a 14 3']
+
+    async def test_malformed(self) -> None:
+        harness = make_harness()
+        async with harness.run():
+            responses = await harness.send(b'nonsense\r\n\r\n')
+        assert responses[0].startswith(b'400 ')
+
+
+class TestRefusals:
+    """Clients exceed the limits."""
+
+    @pytest.mark.parametrize(
+        'request_start',
+        [
+            get('/a', b'X: %s' % (b'a' * 70_000)),
+            b'\r\n' * 35_000,
+            b'a' * 70_000,
+        ],
+    )
+    async def test_large_header(self, request_start: bytes) -> None:
+        harness = make_harness()
+        async with harness.run():
+            assert await harness.send(request_start) == [b'431 ']
+            assert harness.listeners.closed == {'front_large_header': 1}
+
+    async def test_slow_header(self) -> None:
+        harness = make_harness(header_seconds=0.1)
+        async with harness.run():
+            assert await harness.send(b'GET /a HT') == [b'408 ']
+
+    async def test_slow_body(self) -> None:
+        harness = make_harness(body_seconds=0.1)
+        async with harness.run():
+            assert await harness.send(post('/a', b'123')[:-1]) == [b'408 ']
+            assert not harness.listeners.used_bytes['front']
+
+    # Guards against cutting off a request that is handled for longer than
+    # its body might take.
+    @pytest.mark.parametrize('request_text', [post('/a', b'123456'), CHUNKED])
+    async def test_slow_handler(self, request_text: bytes) -> None:
+        harness = make_harness(body_seconds=0.1, header_seconds=0.1)
+        harness.may_answer.clear()
+        async with harness.run():
+            sending = asyncio.create_task(harness.send(request_text))
+            await asyncio.sleep(0.7)
+            harness.may_answer.set()
+            assert (await sending)[0].startswith(b'200 /a 1')
+
+    # Guards against a request that keeps its handler and descriptor after
+    # its client has left while nothing is read from it.
+    async def test_client_leaves_while_held(self) -> None:
+        harness = make_harness(header_seconds=0.1)
+        harness.may_answer.clear()
+        async with harness.run():
+            _, writer = await harness.connect()
+            writer.write(post('/a', b'1'))
+            writer.write(get('/b') * 200_000)
+            await harness.wait_closed('front_pipelined')
+            writer.close()
+            await until(lambda: _is_cancelled(harness), seconds=TIMEOUT_SECONDS)
+            assert not harness.listeners.used_bytes['front']
+
+    # Guards against a refusal of a body that says that the job may have run.
+    async def test_memory(self) -> None:
+        machine = MachineLimits(memory_mb=1)
+        harness = make_harness(machine, memory_share=0.1)
+        async with harness.run():
+            request = post('/a', b'x' * 60_000)
+            assert await harness.send(request[:-1]) == [b'503 ']
+            assert await harness.send(get('/b')) == [b'200 /b 9 0']
+
+    # Guards against exceeding the descriptors of the machine, and against a
+    # crowd of idle connections that keeps others out.
+    async def test_connections(self) -> None:
+        harness = make_harness(MachineLimits(descriptors=256))
+        async with harness.run():
+            crowd = [await harness.connect() for _ in range(40)]
+            assert await harness.send(get('/b')) == [b'200 /b 9 0']
+            assert harness.listeners.connections['front'] <= 16
+            for _, writer in crowd:
+                writer.close()
+                with suppress(ConnectionError):
+                    await writer.wait_closed()
+
+
+async def _is_cancelled(harness: _Harness) -> bool:
+    return harness.cancelled == 1
