--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -90,6 +90,23 @@
         assert status == 200
 
 
+@pytest.mark.parametrize('kind', ['slow headers', 'idle'])
+class TestCrowdedListener:
+    """More clients than may connect crowd one listener."""
+
+    # Guards against readiness checks, heartbeats or callers that are refused
+    # since clients of another listener have taken all connections, and
+    # against ordinary clients of the same listener that are kept out.
+    async def test_others_are_served(self, victim: _Victim, kind: str) -> None:
+        program = victim.program
+        target = program.targets[victim.listener]
+        with HostileClients(ATTACKS[kind], target) as hostile:
+            await asyncio.to_thread(hostile.run, program.figures)
+            for listener in program.targets:
+                assert await program.request(listener) == 200
+        await _wait_until_returned(program.figures, victim.descriptors)
+
+
 async def _wait_until_returned(figures: ProcessFigures, before: int) -> None:
     async def is_returned() -> bool:
         return figures.descriptors <= before + _OWN_DESCRIPTORS
