Bound unread responses and idle connections by memory

Responses that clients don't read count against the memory of requests once they exceed the buffers of the system, as a desired state of 0.5 MB could be requested on many connections. The number of connections is also bounded by memory, 8 KB each, for machines with many descriptors. Settings below the reserved descriptors no longer keep a process from starting.

--- a/src/cuminstack/platform/_connection_limits.py
+++ b/src/cuminstack/platform/_connection_limits.py
@@ -15,6 +15,10 @@
 #: for each of these listeners.
 _SIDE_MEMORY: Final = 0.125
 _MIN_CONNECTIONS: Final = 16
+#: Estimated memory of an idle connection, in bytes, and part of the memory
+#: for requests that connections may take in addition to it.
+_CONNECTION_BYTES: Final = 8192
+_CONNECTION_SHARE: Final = 0.5
 #: A parsed JSON document takes up to 25 times its size, so the largest
 #: desired state takes two fifths of the memory for a moment.
 _STATE_MEMORY: Final = 64
@@ -149,7 +153,8 @@
     memory = machine.memory_mb * _MEBIBYTE * options.memory_share
     connections = machine.descriptors - _FILE_DESCRIPTORS
     connections -= _SIDE_LISTENERS * _SIDE_CONNECTIONS
-    connections = max(_MIN_CONNECTIONS, connections)
+    affordable = int(memory * _CONNECTION_SHARE) // _CONNECTION_BYTES
+    connections = max(_MIN_CONNECTIONS, min(connections, affordable))
     if is_side:
         memory *= _SIDE_MEMORY
         connections = _SIDE_CONNECTIONS
--- /dev/null
+++ b/src/cuminstack/platform/_refusals.py
@@ -0,0 +1,48 @@
+"""Responses and requests that end a connection."""
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+from aiohttp.http import RawRequestMessage
+
+from cuminstack.platform._connections import Cause
+
+_RETRY_AFTER: Final = 'Retry-After: 1'
+_REFUSALS: Final = MappingProxyType(
+    {
+        Cause.large_header: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        Cause.slow_header: HTTPStatus.REQUEST_TIMEOUT,
+        Cause.slow_body: HTTPStatus.REQUEST_TIMEOUT,
+    },
+)
+
+
+def without_keepalive(message: RawRequestMessage) -> RawRequestMessage:
+    """Return a request after which the connection is closed."""
+    should_close = True
+    return RawRequestMessage(
+        message.method,
+        message.path,
+        message.version,
+        message.headers,
+        message.raw_headers,
+        should_close,
+        message.compression,
+        message.upgrade,
+        message.chunked,
+        message.url,
+    )
+
+
+def refusal(cause: Cause) -> bytes:
+    """Return the response to a request that was not handled."""
+    status = _REFUSALS.get(cause, HTTPStatus.SERVICE_UNAVAILABLE)
+    lines = [
+        f'HTTP/1.1 {status.value} {status.phrase}',
+        'Content-Length: 0',
+        'Connection: close',
+    ]
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(_RETRY_AFTER)
+    return '\r\n'.join((*lines, '', '')).encode()
--- a/src/cuminstack/platform/_server.py
+++ b/src/cuminstack/platform/_server.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-from http import HTTPStatus
-from types import MappingProxyType
 from typing import Any, Final, cast
 
 from aiohttp import hdrs, web
@@ -16,6 +14,7 @@
 from cuminstack.logs import log_event
 from cuminstack.platform._connections import Cause, body_cost, header_cost
 from cuminstack.platform._listener import Listener
+from cuminstack.platform._refusals import refusal, without_keepalive
 from cuminstack.settings import LogLevel
 
 _END_OF_HEADER: Final = b'\r\n\r\n'
@@ -35,14 +34,6 @@
 #: Bytes that are kept of requests behind one that is in progress: a complete
 #: request of the largest header section and body that are usual.
 _PIPELINED_BYTES: Final = 393_216
-_RETRY_AFTER: Final = 'Retry-After: 1'
-_REFUSALS: Final = MappingProxyType(
-    {
-        Cause.large_header: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-        Cause.slow_header: HTTPStatus.REQUEST_TIMEOUT,
-        Cause.slow_body: HTTPStatus.REQUEST_TIMEOUT,
-    },
-)
 
 
 class LimitedConnection(RequestHandler, asyncio.BufferedProtocol):
@@ -138,9 +129,12 @@
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
-        """Bound the time in which the client takes no response."""
+        """Bound the time and memory of a response that isn't taken."""
         super().pause_writing()
         self._listener.await_client(self, Cause.slow_reader)
+        if self.transport is not None:
+            size = self.transport.get_write_buffer_size()
+            self._listener.use_memory(self, size)
 
     def resume_writing(self) -> None:
         """Go on writing."""
@@ -294,7 +288,7 @@
                 # The end of the body isn't known before it is parsed, so a
                 # request that follows couldn't be told from it.
                 self._messages[-1] = (
-                    _without_keepalive(message),
+                    without_keepalive(message),
                     self._payload,
                 )
             self._body_left = _UNKNOWN if length is None else int(length)
@@ -340,7 +334,7 @@
 
     def _write_refusal(self, cause: Cause) -> None:
         if self.transport is not None:
-            self.transport.write(_refusal(cause))
+            self.transport.write(refusal(cause))
 
     def _discard(self, size: int) -> None:
         self._linger_bytes -= size
@@ -380,31 +374,3 @@
         # aiohttp resumes when a body has been consumed.
         if not self._is_held:
             super()._resume_transport_reading()
-
-
-def _without_keepalive(message: RawRequestMessage) -> RawRequestMessage:
-    should_close = True
-    return RawRequestMessage(
-        message.method,
-        message.path,
-        message.version,
-        message.headers,
-        message.raw_headers,
-        should_close,
-        message.compression,
-        message.upgrade,
-        message.chunked,
-        message.url,
-    )
-
-
-def _refusal(cause: Cause) -> bytes:
-    status = _REFUSALS.get(cause, HTTPStatus.SERVICE_UNAVAILABLE)
-    lines = [
-        f'HTTP/1.1 {status.value} {status.phrase}',
-        'Content-Length: 0',
-        'Connection: close',
-    ]
-    if status is HTTPStatus.SERVICE_UNAVAILABLE:
-        lines.append(_RETRY_AFTER)
-    return '\r\n'.join((*lines, '', '')).encode()
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -27,12 +27,8 @@
 _Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 #: More cores than any machine has.
 _MAX_CORES: Final = 10000
-#: A process takes 50 MB before its first request; a tebibyte is more than any
-#: machine has.
-_MIN_MEMORY_MB: Final = 64
+#: A tebibyte is more than any machine has.
 _MAX_MEMORY_MB: Final = 1_048_576
-#: 200 descriptors are for files.
-_MIN_DESCRIPTORS: Final = 256
 _MAX_DESCRIPTORS: Final = 1_048_576
 #: Longest grace period in seconds: a day.
 _MAX_GRACE_SECONDS: Final = 86400
@@ -57,12 +53,12 @@
     cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1
     # Memory in mebibytes, and open files and connections together; by
     # default what the system allows the process.
-    memory_mb: Annotated[
-        float, msgspec.Meta(ge=_MIN_MEMORY_MB, le=_MAX_MEMORY_MB)
-    ] = MachineLimits.memory_mb
-    max_fds: Annotated[
-        int, msgspec.Meta(ge=_MIN_DESCRIPTORS, le=_MAX_DESCRIPTORS)
-    ] = _MAX_DESCRIPTORS
+    memory_mb: Annotated[float, msgspec.Meta(ge=1, le=_MAX_MEMORY_MB)] = (
+        MachineLimits.memory_mb
+    )
+    max_fds: Annotated[int, msgspec.Meta(ge=1, le=_MAX_DESCRIPTORS)] = (
+        _MAX_DESCRIPTORS
+    )
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -227,6 +227,13 @@
         side = derive_limits(machine, options, is_side=True)
         assert front.connections + 2 * side.connections == 1024 - 200
 
+    # Guards against idle connections that exceed the memory where descriptors
+    # are many.
+    def test_many_descriptors(self) -> None:
+        machine = MachineLimits(memory_mb=160, descriptors=1_000_000)
+        front = derive_limits(machine, ConnectionOptions(), is_side=False)
+        assert front.connections == 2560
+
     # Guards against listeners that take more than the machine has.
     def test_memory(self) -> None:
         machine = MachineLimits(memory_mb=160)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's settings and messages."""
 
 import json
+import resource
 import tomllib
 from pathlib import Path
 from types import MappingProxyType
@@ -11,6 +12,7 @@
 from cuminstack.core import JobKey
 from cuminstack.fleet import Completed, Failure, MayHaveRun, NotRun
 from cuminstack.metrics import Exposition
+from cuminstack.platform._connection_limits import RequestLimits
 from cuminstack.platform._desired_state import (
     InvalidState,
     canonical_body,
@@ -71,6 +73,9 @@
         'born': 1700000000000,
     }
 )
+MINIMAL = MappingProxyType(
+    {'ip': '10.1.0.13', 'zone': 'z', 'ephemeralPorts': [7720, 7735]}
+)
 KEY = JobKey('5c0e7a21d94b36f8')
 
 
@@ -272,6 +277,22 @@
         assert labels == ['failed', 'deadline', 'not_run_deadline']
 
 
+class TestRequestLimits:
+    """What the desired state allows requests."""
+
+    # Guards against listeners that refuse what the desired state allows.
+    def test_limits(self) -> None:
+        limits = {
+            'maxHeaderBytes': 16384,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        }
+        state = decode_state(encode_state(limits=limits))
+        assert state.request_limits == RequestLimits(16384, 3, 15)
+        without = decode_state(encode_state())
+        assert without.request_limits == RequestLimits()
+
+
 class TestSettings:
     """Decoding of the settings file."""
 
@@ -290,6 +311,23 @@
         assert settings.role.controls == ('10.1.0.16:7720',)
         assert settings.caller_address is None
 
+    # Guards against limits of the machine that are ignored, or beyond what
+    # the system allows the process.
+    def test_machine_limits(self) -> None:
+        limits = {'memoryMb': 160, 'maxFds': 400, 'cpuShare': 0.5}
+        machine = decode_settings({**MINIMAL, 'limits': limits}).machine
+        assert (machine.memory_mb, machine.descriptors) == (160, 400)
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        default = decode_settings({**MINIMAL}).machine
+        assert (default.memory_mb, default.descriptors) == (160, allowed)
+
+    @pytest.mark.parametrize(
+        'limits', [{'memoryMb': 0}, {'memoryMb': 'much'}, {'maxFds': -1}]
+    )
+    def test_bad_machine_limits(self, limits: dict[str, Any]) -> None:
+        with pytest.raises(BadSettings, match=next(iter(limits))):
+            decode_settings({**MINIMAL, 'limits': limits})
+
     def test_missing_setting(self) -> None:
         with pytest.raises(BadSettings):
             decode_settings({'ip': '10.1.0.13'})
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -19,6 +19,8 @@
 from cuminstack.settings import Address
 
 TIMEOUT_SECONDS = 20
+#: More than the buffers of a connection in the system.
+LARGE_BYTES = 16_000_000
 HEAD = b'Host: h.example\r\n'
 
 CHUNKED = (
@@ -54,6 +56,7 @@
     async def run(self) -> AsyncIterator[None]:
         app = web.Application(client_max_size=0)
         app.router.add_route('*', '/early', self._answer_early)
+        app.router.add_route('*', '/large', self._answer_largely)
         app.router.add_route('*', '/{path:.*}', self._answer)
         runner = await self.listeners.start(
             'front',
@@ -97,6 +100,9 @@
     async def _answer_early(self, request: web.Request) -> web.Response:
         return web.Response(text='early')
 
+    async def _answer_largely(self, request: web.Request) -> web.Response:
+        return web.Response(body=bytes(LARGE_BYTES))
+
     async def _answer(self, request: web.Request) -> web.Response:
         self.started += 1
         size = len(await request.read())
@@ -274,6 +280,20 @@
             assert await harness.send(request[:-1]) == [b'503 ']
             assert await harness.send(get('/b')) == [b'200 /b 9 0']
 
+    # Guards against responses that are kept in memory since their clients
+    # don't read them, such as large desired states.
+    async def test_unread_responses(self) -> None:
+        harness = make_harness(MachineLimits(memory_mb=100))
+        async with harness.run():
+            crowd = [await harness.connect() for _ in range(3)]
+            for _, writer in crowd:
+                writer.write(get('/large'))
+            await harness.wait_closed('front_memory')
+            assert harness.listeners.used_bytes['front'] < 25 * 1_048_576
+            assert await harness.send(get('/b')) == [b'200 /b 9 0']
+            for _, writer in crowd:
+                writer.close()
+
     # Guards against exceeding the descriptors of the machine, and against a
     # crowd of idle connections that keeps others out.
     async def test_connections(self) -> None:
