--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -287,9 +287,9 @@
             'headerTimeoutMs': 3000,
             'idleTimeoutMs': 15000,
         }
-        state = decode_state(encode_state(limits=limits))
+        state = decode_state(_to_json({**STATE, 'limits': limits}))
         assert state.request_limits == RequestLimits(16384, 3, 15)
-        without = decode_state(encode_state())
+        without = decode_state(_to_json(STATE))
         assert without.request_limits == RequestLimits()
 
 
