--- a/src/cuminstack/platform/_server.py
+++ b/src/cuminstack/platform/_server.py
@@ -204,7 +204,7 @@
         self._is_handled = False
         now = self._loop.time()
         self._listener.table.end_request(self, now=now)
-        if not self._is_open or self._force_close or self._linger_bytes:
+        if not self._is_open or self._force_close or self._close:
             return
         if self._body_left:
             self._listener.await_client(self, Cause.slow_body)
