Release refused bodies when their handler ends

A refused body stayed in memory: aiohttp keeps the last response of a connection, for a refusal an error whose traceback refers to the frames that hold the body.

Tracebacks are dropped when a handler ends. Three of four cases of test_refused_body_is_released fail without the change; the fourth is cancelled, which released the body already.

--- a/src/cuminstack/platform/_refusals.py
+++ b/src/cuminstack/platform/_refusals.py
@@ -46,3 +46,18 @@
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
         lines.append(_RETRY_AFTER)
     return '\r\n'.join((*lines, '', '')).encode()
+
+
+def forget_frames(error: object) -> None:
+    """Release what the frames hold in which an error was raised.
+
+    These hold the body that was read so far.  An error that refuses a body is
+    a response, too, and one that a body raises refers to itself by them, so
+    that its memory would stay until garbage is collected.
+
+    Args:
+        error: An exception; anything else is left alone.
+    """
+    if isinstance(error, BaseException):
+        error.__traceback__ = None
+        error.__context__ = None
--- a/src/cuminstack/platform/_server.py
+++ b/src/cuminstack/platform/_server.py
@@ -15,7 +15,11 @@
 from cuminstack.logs import log_event
 from cuminstack.platform._connections import Cause, body_cost, header_cost
 from cuminstack.platform._listener import Listener
-from cuminstack.platform._refusals import refusal, without_keepalive
+from cuminstack.platform._refusals import (
+    forget_frames,
+    refusal,
+    without_keepalive,
+)
 from cuminstack.settings import LogLevel
 
 _END_OF_HEADER: Final = b'\r\n\r\n'
@@ -192,12 +196,18 @@
                 error=error,
             )
 
-    async def _handle_request(self, *args: Any) -> Any:
+    async def _handle_request(
+        self, request: web.BaseRequest, *args: Any
+    ) -> tuple[web.StreamResponse, bool]:
         self._is_handled = True
         try:
-            return await super()._handle_request(*args)
+            response, is_reset = await super()._handle_request(request, *args)
         finally:
+            forget_frames(request.content.exception())
             self._end_request()
+        # aiohttp keeps the response until the next request.
+        forget_frames(response)
+        return response, is_reset
 
     def _end_request(self) -> None:
         self._is_busy = False
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -1,6 +1,8 @@
 """Requests on limited connections, over loopback."""
 
 import asyncio
+import gc
+import weakref
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 from itertools import repeat
@@ -39,6 +41,10 @@
 pytestmark = pytest.mark.asyncio
 
 
+class _Body:
+    """Stands for a body that a handler has read."""
+
+
 class _Harness:
     """A listener, whose handler answers with the size of the request."""
 
@@ -54,19 +60,23 @@
         self.may_answer.set()
         self.started = 0
         self.cancelled = 0
+        self.bodies: list[weakref.ref[_Body]] = []
         self._required = required
 
     @asynccontextmanager
-    async def run(self) -> AsyncIterator[None]:
+    async def run(
+        self, *, cancel_on_disconnect: bool = True
+    ) -> AsyncIterator[None]:
         app = web.Application(client_max_size=0)
         app.router.add_route('*', '/early', self._answer_early)
         app.router.add_route('*', '/large', self._answer_largely)
+        app.router.add_route('*', '/refused', self._refuse)
         app.router.add_route('*', '/{path:.*}', self._answer)
         runner = await self.listeners.start(
             'front',
             app,
             self.address,
-            cancel_on_disconnect=True,
+            cancel_on_disconnect=cancel_on_disconnect,
             shutdown_timeout_seconds=0.5,
             required=lambda: self._required,
         )
@@ -95,6 +105,9 @@
         writer.close()
         return responses
 
+    async def has_no_body(self) -> bool:
+        return all(body() is None for body in self.bodies)
+
     async def is_started(self) -> bool:
         return self.started > 0
 
@@ -107,6 +120,13 @@
     async def _answer_early(self, request: web.Request) -> web.Response:
         return web.Response(text='early')
 
+    async def _refuse(self, request: web.Request) -> web.Response:
+        body = _Body()
+        self.bodies.append(weakref.ref(body))
+        self.started += 1
+        await request.read()
+        raise web.HTTPRequestEntityTooLarge(1, 2)
+
     async def _answer_largely(self, request: web.Request) -> web.Response:
         self.started += 1
         await self.may_answer.wait()
@@ -363,6 +383,27 @@
             assert await harness.send(request[:-1]) == [b'503 ']
             assert await harness.send(get('/b')) == [b'200 /b 9 0']
 
+    # Guards against bodies that stay in memory with the traceback of the
+    # error that refused them, until garbage is collected or forever.
+    @pytest.mark.parametrize('cancel', [False, True])
+    @pytest.mark.parametrize('is_left', [False, True])
+    async def test_refused_body_is_released(
+        self, *, is_left: bool, cancel: bool
+    ) -> None:
+        harness = make_harness()
+        gc.disable()
+        try:
+            async with harness.run(cancel_on_disconnect=cancel):
+                _, writer = await harness.connect()
+                request = post('/refused', b'12')
+                writer.write(request[:-1] if is_left else request)
+                await until(harness.is_started, seconds=TIMEOUT_SECONDS)
+                if is_left:
+                    writer.close()
+                await until(harness.has_no_body, seconds=TIMEOUT_SECONDS)
+        finally:
+            gc.enable()
+
     # Guards against responses that are kept in memory since their clients
     # don't read them, such as large desired states.
     async def test_unread_responses(self) -> None:
