Place tasks on the fastest endpoints that have room

Cause: among gaps that fit, the endpoint with the fewest free millicores was chosen, so tasks ran on endpoints of slowness 1.6 while fast ones were idle.

Change: the capacity index keeps a sorted list for each class of speed (steps of 0.2 of the logarithm of slowness), and placement takes the fastest class first, then the fewest free millicores. Where all endpoints are in one class, the same endpoint is chosen as before.

--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -1,6 +1,6 @@
 """Assignment of free capacity to waiting jobs."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from cuminstack.core import EndpointId, InstanceId
@@ -10,7 +10,11 @@
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint
 from cuminstack.pool._queue import JobQueue, WaitingJob
-from cuminstack.pool._rooms import CapacityIndex, StartCandidates
+from cuminstack.pool._rooms import (
+    CapacityIndex,
+    StartCandidates,
+    unit_slowness,
+)
 from cuminstack.pool._watch import LEASE_SECONDS
 
 #: Seconds of silence of an entry instance after which none of its jobs are
@@ -25,6 +29,8 @@
         endpoints: All known endpoints, by id.
         capacity_index: Index of the endpoints that accept starts.
         queue: Waiting jobs in scheduling order.
+        slowness: Returns the factor on run times at an endpoint, compared
+            with the mean of its service.
     """
 
     def __init__(
@@ -32,7 +38,10 @@
         endpoints: dict[EndpointId, Endpoint],
         capacity_index: CapacityIndex,
         queue: JobQueue,
+        *,
+        slowness: Callable[[EndpointId], float] = unit_slowness,
     ) -> None:
+        self._slowness = slowness
         self._endpoints = endpoints
         self._capacity_index = capacity_index
         self._queue = queue
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -27,7 +27,9 @@
 
     Endpoints that run at normal speed come first, then those that are warmed
     up, then those in the rack with the data, then those without recent
-    failures, then the one with the fewest free millicores.
+    failures, then the fastest ones, then the one with the fewest free
+    millicores.  Speeds are compared by class, see `CapacityIndex`; where all
+    are in one class, only the free millicores count.
 
     Args:
         candidates: Endpoints of the service that may get starts.
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -1,20 +1,47 @@
 """Endpoints by service, and those that accept starts by free capacity.
 
 A start or an end of a run changes the free capacity of one endpoint only, so
-the other endpoints keep their positions between events.
+the other endpoints keep their positions between events.  Endpoints of clearly
+different speeds are indexed apart, so that the fast ones can come first.
 """
 
+import math
 from bisect import bisect_left, insort
 from collections import defaultdict
-from collections.abc import Collection, Container, Iterator, Sequence
-from itertools import islice
-from typing import NamedTuple
+from collections.abc import (
+    Callable,
+    Collection,
+    Container,
+    Iterable,
+    Iterator,
+    Sequence,
+)
+from itertools import chain, islice
+from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._records import Resources
 
+#: Width of a speed class, as the logarithm of slowness.  Run times of equal
+#: tasks differ by 15%, so a smaller difference is not worth a worse gap.
+_CLASS_WIDTH: Final = 0.2
+#: Bound on the number of a speed class, so that there are at most eleven:
+#: slowness from 0.37 to 2.7.
+_MAX_CLASS: Final = 5
+
+
+def _speed_class(slowness: float) -> int:
+    """Return the number of a speed class; the fastest is the lowest."""
+    number = round(math.log(slowness) / _CLASS_WIDTH)
+    return min(max(number, -_MAX_CLASS), _MAX_CLASS)
+
+
+def unit_slowness(endpoint: EndpointId) -> float:
+    """Return the slowness of an endpoint of which nothing is known."""
+    return 1.0
+
 
 class FreeCapacity(NamedTuple):
     """Sort entry of an endpoint; the one with the least free comes first.
@@ -30,16 +57,61 @@
     endpoint: Endpoint
 
 
-class CapacityIndex:
-    """Index of endpoints and their capacity, by service."""
+class _SpeedClasses:
+    """Endpoints that accept starts, by speed class and free capacity."""
 
     def __init__(self) -> None:
+        self._lists: dict[int, list[FreeCapacity]] = {}
+        self._ordered: tuple[list[FreeCapacity], ...] = ()
+
+    @property
+    def lists(self) -> tuple[list[FreeCapacity], ...]:
+        """A sorted list for each class, the fastest class first."""
+        return self._ordered
+
+    def add(self, speed_class: int, capacity: FreeCapacity) -> None:
+        """Add an endpoint."""
+        if speed_class not in self._lists:
+            self._lists[speed_class] = []
+            self._ordered = tuple(
+                self._lists[number] for number in sorted(self._lists)
+            )
+        insort(self._lists[speed_class], capacity)
+
+    def remove(self, speed_class: int, capacity: FreeCapacity) -> None:
+        """Remove an endpoint that was added with the same arguments."""
+        entries = self._lists[speed_class]
+        entries.pop(bisect_left(entries, capacity))
+
+
+class _Position(NamedTuple):
+    """Where an endpoint is indexed."""
+
+    service: str
+    speed_class: int
+    capacity: FreeCapacity
+
+
+class CapacityIndex:
+    """Index of endpoints and their capacity, by service.
+
+    Args:
+        slowness: Returns the factor on run times at an endpoint, compared
+            with the mean of its service.
+    """
+
+    def __init__(
+        self,
+        *,
+        slowness: Callable[[EndpointId], float] = unit_slowness,
+    ) -> None:
+        self._slowness = slowness
         self._changed: dict[int, Endpoint] = {}
-        self._positions: dict[int, tuple[str, FreeCapacity]] = {}
+        self._positions: dict[int, _Position] = {}
         self._services: dict[int, str] = {}
         self._members: defaultdict[str, dict[int, Endpoint]] = defaultdict(dict)
-        self._startable: defaultdict[str, list[FreeCapacity]] = defaultdict(
-            list
+        self._startable: defaultdict[str, _SpeedClasses] = defaultdict(
+            _SpeedClasses
         )
         # Service and millicores of each endpoint that accepts starts now or
         # will, including quarantined ones.
@@ -52,13 +124,17 @@
         """Mark an endpoint that was added, changed or removed."""
         self._changed[endpoint.number] = endpoint
 
-    def startable(self, service: str) -> Sequence[FreeCapacity]:
+    def startable(self, service: str) -> Sequence[Sequence[FreeCapacity]]:
         """Return the endpoints of a service that accept starts now.
 
-        Later calls change the returned list; events between calls do not.
+        Later calls change the returned lists; events between calls do not.
+
+        Returns:
+            Endpoints by free capacity, for each speed class, the fastest
+            first.
         """
         self._apply_changes()
-        return self._startable[service]
+        return self._startable[service].lists
 
     def members(self, service: str) -> Collection[Endpoint]:
         """Return the endpoints of a service that are not gone."""
@@ -122,15 +198,17 @@
     def _update_startable(self, endpoint: Endpoint) -> None:
         known = self._positions.pop(endpoint.number, None)
         if known is not None:
-            name, capacity = known
-            startable = self._startable[name]
-            startable.pop(bisect_left(startable, capacity))
+            self._startable[known.service].remove(
+                known.speed_class, known.capacity
+            )
         if endpoint.takes_starts:
             name = endpoint.report.service
             free = endpoint.free.millicores
             capacity = FreeCapacity(free, endpoint.number, endpoint)
-            insort(self._startable[name], capacity)
-            self._positions[endpoint.number] = (name, capacity)
+            speed_class = _speed_class(self._slowness(endpoint.report.endpoint))
+            self._startable[name].add(speed_class, capacity)
+            position = _Position(name, speed_class, capacity)
+            self._positions[endpoint.number] = position
 
 
 class StartCandidates:
@@ -153,7 +231,7 @@
         self._now = now
         self._has_healthy = any(
             not each.endpoint.health.is_quarantined(now=now)
-            for each in self._startable
+            for each in self._all_startable
         )
         self._max_free: Resources | None = None
         self.refresh()
@@ -164,17 +242,18 @@
         return self._max_millicores
 
     @property
-    def _startable(self) -> Sequence[FreeCapacity]:
+    def _startable(self) -> Sequence[Sequence[FreeCapacity]]:
         return self._capacity_index.startable(self._service)
 
+    @property
+    def _all_startable(self) -> Iterable[FreeCapacity]:
+        return chain.from_iterable(self._startable)
+
     def refresh(self) -> None:
         """Recompute the most free millicores, after a start."""
-        largest = (
-            each.millicores
-            for each in reversed(self._startable)
-            if self._has_room(each.endpoint)
+        self._max_millicores = max(
+            map(self._most_millicores, self._startable), default=-1
         )
-        self._max_millicores = next(largest, -1)
 
     def record_miss(self) -> None:
         """Record that a task did not fit, to spare other jobs the search.
@@ -197,21 +276,33 @@
         return any(self._max_free.can_fit(needs) for needs in job.ready_needs)
 
     def with_free(self, millicores: int) -> Iterator[Endpoint]:
-        """Yield candidates with so many millicores free, in ascending order."""
-        startable = self._startable
-        first = bisect_left(startable, (millicores,))
-        for each in islice(startable, first, None):
-            if self._has_room(each.endpoint):
-                yield each.endpoint
+        """Yield candidates with so many millicores free.
+
+        Those of the fastest class come first; within a class, they are in
+        ascending order.
+        """
+        for startable in self._startable:
+            first = bisect_left(startable, (millicores,))
+            for each in islice(startable, first, None):
+                if self._has_room(each.endpoint):
+                    yield each.endpoint
 
     def has_any_except(self, excluded: Container[EndpointId]) -> bool:
         """Return whether any candidate, full or not, is outside a set."""
         return any(
             each.endpoint.report.endpoint not in excluded
-            for each in self._startable
+            for each in self._all_startable
             if self._may_start(each.endpoint)
         )
 
+    def _most_millicores(self, startable: Sequence[FreeCapacity]) -> int:
+        largest = (
+            each.millicores
+            for each in reversed(startable)
+            if self._has_room(each.endpoint)
+        )
+        return next(largest, -1)
+
     def _has_room(self, endpoint: Endpoint) -> bool:
         is_probed = endpoint.health.is_on_probation and bool(endpoint.runs)
         return not is_probed and self._may_start(endpoint)
