Reserve endpoints for tasks that are passed over

Cause: tasks of about the mean demand fill each gap as soon as it opens, so tasks of more than half an endpoint wait until the load drops.

Change: a job that fits into no gap while a later one starts is watched; after 5 ms an endpoint is reserved for its first task, the one of a bounded sample at which the task is expected to end soonest, if the job can still be in time, or in any case after 0.5 s. At most 16 endpoints and one of 20 are reserved. Waiting tasks use a reserved endpoint if they surely end before the reservation begins or fit beside the reserved task. The expected run time of a run is kept with it, and expected_ends gives the ends at an endpoint.

The test of the assignment order against a full ranking runs without reservations; a new one compares all assignments around which no reservation is in force.

--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -56,6 +56,7 @@
         stop_sent_at: Time at which its last stop was ordered; None if none was.
         percent: Its last known progress, 0 to 100.
         progressed_at: Time at which `percent` last increased.
+        expected_seconds: Expected run time at slowness 1.0; 0 if unknown.
     """
 
     key: RunKey
@@ -66,6 +67,7 @@
     stop_sent_at: float | None = None
     percent: float = 0
     progressed_at: float = 0
+    expected_seconds: float = 0
 
 
 class Endpoint:
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -63,8 +63,11 @@
 
 
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
-    if not endpoint.free.can_fit(step.needs):
-        return False
+    return endpoint.free.can_fit(step.needs) and may_host(endpoint, task, step)
+
+
+def may_host(endpoint: Endpoint, task: Task, step: Step) -> bool:
+    """Return whether labels and spread admit a task, whatever is free."""
     if step.label and step.label not in endpoint.report.labels:
         return False
     return not step.spread or _count_step_runs(endpoint, task) < step.spread
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -5,8 +5,7 @@
 different speeds are indexed apart, so that the fast ones can come first.
 """
 
-import math
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import (
     Callable,
@@ -17,71 +16,18 @@
     Sequence,
 )
 from itertools import chain, islice
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from cuminstack.core import EndpointId
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._records import Resources
-
-#: Width of a speed class, as the logarithm of slowness.  Run times of equal
-#: tasks differ by 15%, so a smaller difference is not worth a worse gap.
-_CLASS_WIDTH: Final = 0.2
-#: Bound on the number of a speed class, so that there are at most eleven:
-#: slowness from 0.37 to 2.7.
-_MAX_CLASS: Final = 5
-
-
-def _speed_class(slowness: float) -> int:
-    """Return the number of a speed class; the fastest is the lowest."""
-    number = round(math.log(slowness) / _CLASS_WIDTH)
-    return min(max(number, -_MAX_CLASS), _MAX_CLASS)
-
-
-def unit_slowness(endpoint: EndpointId) -> float:
-    """Return the slowness of an endpoint of which nothing is known."""
-    return 1.0
-
-
-class FreeCapacity(NamedTuple):
-    """Sort entry of an endpoint; the one with the least free comes first.
-
-    Args:
-        millicores: Free millicores of the endpoint.
-        number: Serial number of the endpoint, which breaks ties.
-        endpoint: The endpoint.
-    """
-
-    millicores: int
-    number: int
-    endpoint: Endpoint
-
-
-class _SpeedClasses:
-    """Endpoints that accept starts, by speed class and free capacity."""
-
-    def __init__(self) -> None:
-        self._lists: dict[int, list[FreeCapacity]] = {}
-        self._ordered: tuple[list[FreeCapacity], ...] = ()
-
-    @property
-    def lists(self) -> tuple[list[FreeCapacity], ...]:
-        """A sorted list for each class, the fastest class first."""
-        return self._ordered
-
-    def add(self, speed_class: int, capacity: FreeCapacity) -> None:
-        """Add an endpoint."""
-        if speed_class not in self._lists:
-            self._lists[speed_class] = []
-            self._ordered = tuple(
-                self._lists[number] for number in sorted(self._lists)
-            )
-        insort(self._lists[speed_class], capacity)
-
-    def remove(self, speed_class: int, capacity: FreeCapacity) -> None:
-        """Remove an endpoint that was added with the same arguments."""
-        entries = self._lists[speed_class]
-        entries.pop(bisect_left(entries, capacity))
+from cuminstack.pool._speed_classes import (
+    FreeCapacity,
+    SpeedClasses,
+    speed_class_of,
+    unit_slowness,
+)
 
 
 class _Position(NamedTuple):
@@ -110,8 +56,8 @@
         self._positions: dict[int, _Position] = {}
         self._services: dict[int, str] = {}
         self._members: defaultdict[str, dict[int, Endpoint]] = defaultdict(dict)
-        self._startable: defaultdict[str, _SpeedClasses] = defaultdict(
-            _SpeedClasses
+        self._startable: defaultdict[str, SpeedClasses] = defaultdict(
+            SpeedClasses
         )
         # Service and millicores of each endpoint that accepts starts now or
         # will, including quarantined ones.
@@ -205,7 +151,9 @@
             name = endpoint.report.service
             free = endpoint.free.millicores
             capacity = FreeCapacity(free, endpoint.number, endpoint)
-            speed_class = _speed_class(self._slowness(endpoint.report.endpoint))
+            speed_class = speed_class_of(
+                self._slowness(endpoint.report.endpoint)
+            )
             self._startable[name].add(speed_class, capacity)
             position = _Position(name, speed_class, capacity)
             self._positions[endpoint.number] = position
@@ -221,11 +169,19 @@
         capacity_index: Index of the endpoints.
         service: Name of the service.
         now: The time in seconds.
+        reserved: Serial numbers of endpoints that are left out, as they are
+            reserved.
     """
 
     def __init__(
-        self, capacity_index: CapacityIndex, service: str, *, now: float
+        self,
+        capacity_index: CapacityIndex,
+        service: str,
+        *,
+        now: float,
+        reserved: Container[int] = (),
     ) -> None:
+        self._reserved = reserved
         self._capacity_index = capacity_index
         self._service = service
         self._now = now
@@ -241,6 +197,11 @@
         """Most free millicores of any candidate; negative if there is none."""
         return self._max_millicores
 
+    @property
+    def size(self) -> int:
+        """Number of endpoints that accept starts, full ones included."""
+        return sum(map(len, self._startable))
+
     @property
     def _startable(self) -> Sequence[Sequence[FreeCapacity]]:
         return self._capacity_index.startable(self._service)
@@ -287,6 +248,13 @@
                 if self._has_room(each.endpoint):
                     yield each.endpoint
 
+    def most_free(self, limit: int) -> Iterator[Endpoint]:
+        """Yield up to so many candidates of each class, the most free first."""
+        for startable in self._startable:
+            for each in islice(reversed(startable), limit):
+                if self._has_room(each.endpoint):
+                    yield each.endpoint
+
     def has_any_except(self, excluded: Container[EndpointId]) -> bool:
         """Return whether any candidate, full or not, is outside a set."""
         return any(
@@ -304,6 +272,8 @@
         return next(largest, -1)
 
     def _has_room(self, endpoint: Endpoint) -> bool:
+        if endpoint.number in self._reserved:
+            return False
         is_probed = endpoint.health.is_on_probation and bool(endpoint.runs)
         return not is_probed and self._may_start(endpoint)
 
--- a/tests/fakes_pool.py
+++ b/tests/fakes_pool.py
@@ -93,7 +93,13 @@
 class RandomPool:
     """Endpoints that change at random, and jobs to place on them."""
 
-    def __init__(self, seed: int, *, order: str = 'first-come') -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        order: str = 'first-come',
+        max_reservations: int = 0,
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.capacity_index = CapacityIndex()
@@ -105,6 +111,7 @@
             {each.report.endpoint: each for each in self.endpoints},
             self.capacity_index,
             self.queue,
+            max_reservations=max_reservations,
         )
         self.jobs = 0
 
--- a/tests/test_pool_rooms.py
+++ b/tests/test_pool_rooms.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from collections.abc import Set as AbstractSet
+from copy import deepcopy
 
 import pytest
 from bench.pool import JobPlan, PoolWorld
@@ -9,6 +10,7 @@
 from cuminstack.core import EndpointId, JobKey
 from cuminstack.pool import (
     Phase,
+    Resources,
     RunKey,
     StartRun,
     Step,
@@ -119,6 +121,31 @@
         assert started > 300
         assert len(pool.queue.waiting(now=pool.now)) > 20
 
+    # Guards against reservations that change what is decided while none is in
+    # force, exceed their bound, or start more than an endpoint has room for.
+    @pytest.mark.parametrize('seed', range(3))
+    def test_order_holds_while_nothing_is_reserved(self, seed: int) -> None:
+        pool = RandomPool(seed, max_reservations=2)
+        look_ahead = pool.assigner._look_ahead
+        compared = 0
+        for _ in range(300):
+            pool.change()
+            pool.submit_job()
+            before = len(look_ahead.reservations)
+            twin = deepcopy(pool)
+            found = pool.assigner.assign(now=pool.now)
+            reserved = len(look_ahead.reservations)
+            if not (before or reserved):
+                assert found == _expected_starts(twin)
+                compared += 1
+            assert reserved <= 2
+            starts = [each for each in found if isinstance(each, StartRun)]
+            for start in starts:
+                endpoint = pool.endpoints[int(start.endpoint)]
+                assert endpoint.free.can_fit(Resources())
+        assert compared > 50
+        assert look_ahead.counts.reservations > 0
+
 
 class TestCapacity:
     """Endpoints that recover, leave or change their service."""
