Export counts of reservations and backfills

The gauge cuminstack_look_ahead shows reservations, starts on reserved endpoints, backfills, and the longest time for which a job was passed over.

--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -111,3 +111,11 @@
         label='queue',
         read=lambda: role.waiting,
     )
+    exposition.add_gauge(
+        'cuminstack_look_ahead',
+        'Reservations, starts on reserved endpoints, backfills since the term '
+        'began, and the longest time in seconds for which a job was passed '
+        'over.',
+        label='kind',
+        read=lambda: role.look_ahead,
+    )
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -95,6 +95,11 @@
         """Number of jobs without a started task, by queue."""
         return self._jobs.waiting
 
+    @property
+    def look_ahead(self) -> dict[str, float]:
+        """Counts of reservations and backfills, and seconds passed over."""
+        return self._assigner.look_ahead_counts.as_dict()
+
     def has_active_job(self, key: JobKey) -> bool:
         """Return whether a job is present and a client waits for it."""
         job = self._jobs.find(key)
--- a/src/cuminstack/pool/_lookahead.py
+++ b/src/cuminstack/pool/_lookahead.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
@@ -77,6 +77,10 @@
     backfills: int = 0
     longest_passed: float = 0
 
+    def as_dict(self) -> dict[str, float]:
+        """Return the counts by name."""
+        return asdict(self)
+
 
 @dataclass(slots=True)
 class _PassedJob:
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -99,6 +99,11 @@
         """The service that handles the jobs of entries."""
         return self._service
 
+    @property
+    def look_ahead(self) -> dict[str, float]:
+        """Counts of reservations and backfills, and seconds passed over."""
+        return self._dispatcher.look_ahead
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of jobs without a started task, by queue."""
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -118,6 +118,11 @@
         """Term in which this instance dispatches; 0 if it doesn't."""
         return 0 if self._dispatcher is None else self._dispatcher.term
 
+    @property
+    def look_ahead(self) -> dict[str, float]:
+        """Counts of reservations and backfills, if this instance dispatches."""
+        return {} if self._dispatcher is None else self._dispatcher.look_ahead
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of jobs without a started task, by queue."""
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -119,6 +119,11 @@
         """Number of endpoints that sent heartbeats and didn't deregister."""
         return len(self._candidate.reports)
 
+    @property
+    def look_ahead(self) -> dict[str, float]:
+        """Counts of reservations and backfills, if this instance dispatches."""
+        return self._candidate.look_ahead
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of jobs without a started task, by queue."""
