--- a/bench/pool/_site_world.py
+++ b/bench/pool/_site_world.py
@@ -7,11 +7,11 @@
 import heapq
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
-from typing import Any, Final
+from typing import Final
 
 from bench.pool._sites import TASK_SPREAD, Site, SiteJob, site_jobs
 from cuminstack.core import EndpointId, InstanceId, JobKey, ZoneName
@@ -32,6 +32,7 @@
 from cuminstack.pool._assignment import Assigner
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._job_table import JobTable
+from cuminstack.pool._lookahead import MAX_RESERVATIONS
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._refuser import AdmissionControl
 from cuminstack.pool._rooms import CapacityIndex
@@ -80,7 +81,9 @@
         site: The account.
         endpoints: Number of endpoints.
         seed: Seed of the draws.
-        make: Makes the assigner, from the same arguments.
+        order: Name of the queue order.
+        task_spread: Sigma of the run times of a job's tasks.
+        max_reservations: Endpoints that are reserved at a time at most.
     """
 
     def __init__(
@@ -90,8 +93,10 @@
         endpoints: int,
         seed: int,
         order: str = 'useful-first',
-        make: Callable[..., Any] = Assigner,
+        task_spread: float = TASK_SPREAD,
+        max_reservations: int = MAX_RESERVATIONS,
     ) -> None:
+        self._task_spread = task_spread
         self._site = site
         self._rng = random.Random(seed + 1000)
         self.now = 1000.0
@@ -103,8 +108,12 @@
         }
         self.queue = JobQueue(find_order(order))
         self.table = JobTable(self.queue, term=1)
-        self.assigner = make(
-            self.endpoints, self.index, self.queue, slowness=self._slowness
+        self.assigner = Assigner(
+            self.endpoints,
+            self.index,
+            self.queue,
+            slowness=self._slowness,
+            max_reservations=max_reservations,
         )
         self._admission = AdmissionControl(
             self.table, Load(self.index, self.queue)
@@ -121,13 +130,18 @@
 
     def play(self, *, load: float, seconds: float, seed: int) -> None:
         """Let jobs arrive for a while, and let them end."""
-        for job in site_jobs(
+        jobs = site_jobs(
             self._site,
             load=load,
             endpoints=len(self.endpoints),
             seconds=seconds,
             seed=seed,
-        ):
+        )
+        self.play_jobs(jobs, seconds=seconds)
+
+    def play_jobs(self, jobs: Iterable[SiteJob], *, seconds: float) -> None:
+        """Let given jobs arrive, and let them end."""
+        for job in jobs:
             self._at(self.now + job.at, partial(self._submit, job))
         self._until = self.now + seconds
         self._at(self.now, self._tick)
@@ -208,7 +222,7 @@
     def _start(self, order: StartRun) -> None:
         self.starts += 1
         drawn = self._factors[order.run.task.job]
-        factor = self._rng.lognormvariate(0, TASK_SPREAD)
+        factor = self._rng.lognormvariate(0, self._task_spread)
         seconds = drawn.seconds * factor * self._slowness(order.endpoint)
         used = max(0, min(self.now + seconds, self._until) - self.now)
         self.used_seconds += used * drawn.millicores
--- a/bench/pool/placement.py
+++ b/bench/pool/placement.py
@@ -12,8 +12,10 @@
 
 import fire
 
+from bench.pool._best_plan import best_mean, draw_instance, rule_mean
 from bench.pool._site_world import Served, SiteWorld
 from bench.pool._sites import SITES, Site
+from cuminstack.pool._lookahead import MAX_RESERVATIONS
 
 _MICRO: Final = 1e6
 _LATE_VALUE: Final = 0.2
@@ -51,12 +53,15 @@
     endpoints: int,
     seconds: float,
     seed: int,
-    rule: dict[str, object] | None = None,
+    max_reservations: int = MAX_RESERVATIONS,
 ) -> Figures:
     """Play a load of an account."""
-    world = SiteWorld(site, endpoints=endpoints, seed=seed)
-    for name, value in (rule or {}).items():
-        setattr(world.assigner, name, value)
+    world = SiteWorld(
+        site,
+        endpoints=endpoints,
+        seed=seed,
+        max_reservations=max_reservations,
+    )
     world.play(load=load, seconds=seconds, seed=seed)
     served = tuple(world.served.values())
     capacity = sum(site.capacity(number) for number in range(endpoints))
@@ -105,6 +110,7 @@
     seeds: int = 3,
     loads: Sequence[float] = _LOADS,
     sites: Sequence[str] = ('scarce', 'uneven'),
+    max_reservations: int = MAX_RESERVATIONS,
 ) -> None:
     """Play the loads and print the figures, as means over the seeds.
 
@@ -114,6 +120,8 @@
         seeds: Number of seeds.
         loads: Mean loads.
         sites: Names of the accounts.
+        max_reservations: Endpoints that are reserved at a time at most; 0 for
+            the rule without look-ahead.
     """
     chosen = [site for site in SITES if site.name in sites]
     for site in chosen:
@@ -125,6 +133,7 @@
                     endpoints=endpoints,
                     seconds=seconds,
                     seed=seed,
+                    max_reservations=max_reservations,
                 )
                 for seed in range(1, seeds + 1)
             ]
@@ -151,5 +160,24 @@
         print(f'   {title}:', *cells)
 
 
+def compare_with_best(*, instances: int = 10) -> None:
+    """Print mean times to the answer of small instances and the best plan.
+
+    Args:
+        instances: Number of instances, drawn from the seeds 1, 2 and so on.
+    """
+    for site in SITES:
+        drawn = [
+            draw_instance(site, seed=seed) for seed in range(1, instances + 1)
+        ]
+        best = fmean(best_mean(site, jobs) for jobs in drawn)
+        print(f'{site.name}: best {best:.3f} s')
+        for bound in (0, MAX_RESERVATIONS):
+            means = [
+                rule_mean(site, jobs, max_reservations=bound) for jobs in drawn
+            ]
+            print(f'  {bound} reservations: {fmean(means):.3f} s')
+
+
 if __name__ == '__main__':
-    fire.Fire(report)
+    fire.Fire({'report': report, 'best': compare_with_best})
