Check labels and spread again when a reserved task starts

Backfill may have started tasks of the same step on the reserved endpoint, or its labels may have changed. Backfill moves to its own module, and an assignment without watched jobs and reservations skips the look-ahead.

Tests: a reserved task of a silent entry instance is not started, and an overdue run is expected to go on.

--- a/src/cuminstack/pool/_assignment.py
+++ b/src/cuminstack/pool/_assignment.py
@@ -88,7 +88,8 @@
             # all waiting jobs at each event would keep it late.
             return ()
         self._has_joined_all = None
-        reserved_starts = tuple(self._start_reserved(now))
+        is_active = self._look_ahead.is_active
+        reserved_starts = tuple(self._start_reserved(now)) if is_active else ()
         min_millicores = self._queue.min_millicores(now=now)
         candidates_of = {
             name: StartCandidates(
@@ -100,6 +101,10 @@
             for name in min_millicores
         }
         self._skipped.clear()
+        if not is_active:
+            return tuple(
+                self._start_in_order(candidates_of, min_millicores, now)
+            )
         return (
             *reserved_starts,
             *self._look_ahead.reserve(candidates_of, now=now),
--- a/src/cuminstack/pool/_lookahead.py
+++ b/src/cuminstack/pool/_lookahead.py
@@ -7,19 +7,19 @@
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import asdict, dataclass
-from typing import Final, NamedTuple
+from typing import Final
 
 from cuminstack.core import EndpointId
+from cuminstack.pool._backfill import find_backfill, is_eligible
 from cuminstack.pool._effects import LogEvent
 from cuminstack.pool._endpoint import Endpoint
 from cuminstack.pool._jobs import Job, Task
 from cuminstack.pool._placement import find_endpoint, may_host
 from cuminstack.pool._queue import WaitingJob
-from cuminstack.pool._records import NO_RESOURCES, Resources, Step
 from cuminstack.pool._reservations import (
+    Placement,
     Reservation,
     Reservations,
-    expected_ends,
     free_at,
 )
 from cuminstack.pool._rooms import StartCandidates
@@ -43,23 +43,12 @@
 _RETRY_SECONDS: Final = 0.02
 #: Endpoints of each speed class that are compared for a reservation at most.
 _MAX_COMPARED: Final = 16
-#: Margin on the expected run time of a backfilled task; tasks of a step differ
-#: by 15%.
-_BACKFILL_MARGIN: Final = 1.3
 #: Seconds between two log lines at least.
 _LOG_INTERVAL_SECONDS: Final = 1.0
 #: Decimal places of times in seconds.
 _DIGITS: Final = 3
 
 
-class Placement(NamedTuple):
-    """A task and the endpoint on which to start it."""
-
-    endpoint: Endpoint
-    job: Job
-    task: Task
-
-
 @dataclass(slots=True)
 class LookAheadCounts:
     """Counts since the dispatcher began.
@@ -112,6 +101,11 @@
         self.counts = LookAheadCounts()
         self.reservations = Reservations()
 
+    @property
+    def is_active(self) -> bool:
+        """Whether any job is watched or any endpoint is reserved."""
+        return bool(self._passed or self.reservations)
+
     def pass_over(self, job: Job, *, now: float) -> None:
         """Record that a later task was started before those of a job."""
         is_new = job.number not in self._passed
@@ -123,12 +117,14 @@
         """Yield the reserved placements whose capacity is free, once each."""
         self.reservations.prune(now=now)
         for reservation in self.reservations:
-            if reservation.endpoint.free.can_fit(reservation.needs):
-                self.reservations.remove(reservation)
+            endpoint, job, task = reservation.placement
+            if not endpoint.free.can_fit(reservation.needs):
+                continue
+            self.reservations.remove(reservation)
+            # Labels and the runs of the same step may have changed.
+            if may_host(endpoint, task, job.steps[task.key.step]):
                 self.counts.reserved_starts += 1
-                yield Placement(
-                    reservation.endpoint, reservation.job, reservation.task
-                )
+                yield reservation.placement
 
     def reserve(
         self,
@@ -162,18 +158,12 @@
         before the next is requested.
         """
         reservations = tuple(self.reservations)
-        most = max(each.endpoint.free.millicores for each in reservations)
+        most = max(
+            each.placement.endpoint.free.millicores for each in reservations
+        )
         for waiting in waiting_jobs:
-            if waiting.millicores > most:
-                continue
-            for task in waiting.job.ready_tasks:
-                endpoint = self._find_backfill(
-                    reservations, waiting.job, task, now
-                )
-                if endpoint is None:
-                    break
-                self.counts.backfills += 1
-                yield Placement(endpoint, waiting.job, task)
+            if waiting.millicores <= most:
+                yield from self._backfill_job(waiting.job, reservations, now)
 
     def _watched(
         self, candidates_of: Mapping[str, StartCandidates], now: float
@@ -200,6 +190,18 @@
             candidates.refresh()
             yield from self._log(made, now - passed.since, now)
 
+    def _backfill_job(
+        self, job: Job, reservations: tuple[Reservation, ...], now: float
+    ) -> Iterator[Placement]:
+        for task in job.ready_tasks:
+            endpoint = find_backfill(
+                reservations, job, task, self._slowness, now=now
+            )
+            if endpoint is None or self.reservations.has(task.key):
+                return
+            self.counts.backfills += 1
+            yield Placement(endpoint, job, task)
+
     def _is_full(self, candidates: StartCandidates) -> bool:
         allowed = max(1, candidates.size // _ENDPOINTS_PER_RESERVATION)
         return len(self.reservations) >= min(allowed, self._max_reservations)
@@ -226,9 +228,7 @@
             return None
         _, begins_at, endpoint = best
         reservation = Reservation(
-            endpoint=endpoint,
-            job=job,
-            task=task,
+            placement=Placement(endpoint, job, task),
             needs=job.steps[task.key.step].needs,
             begins_at=begins_at,
             made_at=now,
@@ -253,7 +253,7 @@
         seconds = job.expected_seconds[task.key.step]
         best: tuple[float, float, Endpoint] | None = None
         for endpoint in candidates.most_free(_MAX_COMPARED):
-            if not _is_eligible(endpoint, task, step):
+            if not is_eligible(endpoint, task, step):
                 continue
             begins_at = free_at(endpoint, step.needs, self._slowness, now=now)
             slowness = self._slowness(endpoint.report.endpoint)
@@ -262,39 +262,6 @@
                 best = (end, begins_at, endpoint)
         return best
 
-    def _find_backfill(
-        self,
-        reservations: Iterable[Reservation],
-        job: Job,
-        task: Task,
-        now: float,
-    ) -> Endpoint | None:
-        if self.reservations.has(task.key):
-            return None
-        step = job.steps[task.key.step]
-        seconds = job.expected_seconds[task.key.step] * _BACKFILL_MARGIN
-        for reservation in reservations:
-            endpoint = reservation.endpoint
-            if not endpoint.free.can_fit(step.needs):
-                continue
-            if not _is_eligible(endpoint, task, step):
-                continue
-            end = now + seconds * self._slowness(endpoint.report.endpoint)
-            if end <= reservation.begins_at:
-                return endpoint
-            if self._spare(reservation, now).can_fit(step.needs):
-                return endpoint
-        return None
-
-    def _spare(self, reservation: Reservation, now: float) -> Resources:
-        """Return what is free beside the reserved task when it begins."""
-        endpoint = reservation.endpoint
-        held = NO_RESOURCES
-        for end, needs in expected_ends(endpoint, self._slowness, now=now):
-            if end > reservation.begins_at:
-                held = held.plus(needs)
-        return endpoint.report.room.minus(held).minus(reservation.needs)
-
     def _log(
         self, made: Reservation, passed_seconds: float, now: float
     ) -> Iterator[LogEvent]:
@@ -305,8 +272,8 @@
         yield LogEvent(
             'endpoint.reserved',
             (
-                ('endpoint', made.endpoint.report.endpoint),
-                ('key', made.job.submission.request.key),
+                ('endpoint', made.placement.endpoint.report.endpoint),
+                ('key', made.placement.job.submission.request.key),
                 ('millicores', made.needs.millicores),
                 ('passed_for', round(passed_seconds, _DIGITS)),
                 ('begins_in', round(made.begins_at - now, _DIGITS)),
@@ -315,9 +282,3 @@
                 ('longest_passed', round(counts.longest_passed, _DIGITS)),
             ),
         )
-
-
-def _is_eligible(endpoint: Endpoint, task: Task, step: Step) -> bool:
-    is_avoided = endpoint.report.endpoint in task.failed_on
-    is_probed = endpoint.health.is_on_probation
-    return not (is_avoided or is_probed) and may_host(endpoint, task, step)
--- a/src/cuminstack/pool/_reservations.py
+++ b/src/cuminstack/pool/_reservations.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
 from cuminstack.pool._endpoint import Endpoint
@@ -20,22 +20,26 @@
 _DEFAULT_SECONDS: Final = 0.2
 
 
+class Placement(NamedTuple):
+    """A task and the endpoint on which to start it."""
+
+    endpoint: Endpoint
+    job: Job
+    task: Task
+
+
 @dataclass(frozen=True, slots=True)
 class Reservation:
     """An endpoint that is kept for a task.
 
     Args:
-        endpoint: The endpoint.
-        job: Job of the task.
-        task: The task.
+        placement: The task and the endpoint.
         needs: Resources that the task needs.
         begins_at: Expected time at which they are free.
         made_at: Time at which it was made.
     """
 
-    endpoint: Endpoint
-    job: Job
-    task: Task
+    placement: Placement
     needs: Resources
     begins_at: float
     made_at: float
@@ -48,14 +52,15 @@
         """
         seconds = self.begins_at - self.made_at
         is_overdue = now > self.begins_at + seconds
-        is_wanted = self.task.state is TaskState.waiting
-        if is_overdue or self.job.abandoned or not is_wanted:
+        endpoint, job, task = self.placement
+        is_wanted = task.state is TaskState.waiting
+        if is_overdue or job.abandoned or not is_wanted:
             return False
-        health = self.endpoint.health
+        health = endpoint.health
         is_healthy = not (
             health.is_on_probation or health.is_quarantined(now=now)
         )
-        return is_healthy and self.endpoint.takes_starts
+        return is_healthy and endpoint.takes_starts
 
 
 def expected_ends(
@@ -139,13 +144,15 @@
 
     def add(self, reservation: Reservation) -> None:
         """Add a reservation."""
-        self._by_endpoint[reservation.endpoint.number] = reservation
-        self._tasks.add(reservation.task.key)
+        endpoint, _, task = reservation.placement
+        self._by_endpoint[endpoint.number] = reservation
+        self._tasks.add(task.key)
 
     def remove(self, reservation: Reservation) -> None:
         """Remove a reservation."""
-        self._by_endpoint.pop(reservation.endpoint.number)
-        self._tasks.discard(reservation.task.key)
+        endpoint, _, task = reservation.placement
+        self._by_endpoint.pop(endpoint.number)
+        self._tasks.discard(task.key)
 
     def prune(self, *, now: float) -> None:
         """Remove the reservations that are no longer valid."""
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -264,12 +264,10 @@
         )
 
     def _most_millicores(self, startable: Sequence[FreeCapacity]) -> int:
-        largest = (
-            each.millicores
-            for each in reversed(startable)
-            if self._has_room(each.endpoint)
-        )
-        return next(largest, -1)
+        for each in reversed(startable):
+            if self._has_room(each.endpoint):
+                return each.millicores
+        return -1
 
     def _has_room(self, endpoint: Endpoint) -> bool:
         if endpoint.number in self._reserved:
--- a/src/cuminstack/pool/_speed_classes.py
+++ b/src/cuminstack/pool/_speed_classes.py
@@ -10,15 +10,15 @@
 #: Width of a speed class, as the logarithm of slowness.  Run times of equal
 #: tasks differ by 15%, so a smaller difference is not worth a worse gap.
 _CLASS_WIDTH: Final = 0.2
-#: Bound on the number of a speed class, so that there are at most eleven:
-#: slowness from 0.37 to 2.7.
-_MAX_CLASS: Final = 5
+#: Slowness from which on no more classes are made, so that there are at most
+#: eleven; an endpoint that is slower is not healthy.
+_MAX_SLOWNESS: Final = math.e
 
 
 def speed_class_of(slowness: float) -> int:
     """Return the number of a speed class; the fastest is the lowest."""
-    number = round(math.log(slowness) / _CLASS_WIDTH)
-    return min(max(number, -_MAX_CLASS), _MAX_CLASS)
+    bounded = min(max(slowness, 1 / _MAX_SLOWNESS), _MAX_SLOWNESS)
+    return round(math.log(bounded) / _CLASS_WIDTH)
 
 
 def unit_slowness(endpoint: EndpointId) -> float:
--- a/tests/test_pool_lookahead.py
+++ b/tests/test_pool_lookahead.py
@@ -3,10 +3,23 @@
 from functools import partial
 
 import pytest
-from bench.pool import JobPlan, PoolWorld
+from bench.pool import SERVICE, JobPlan, PoolWorld
 from bench.pool._site_world import Served, SiteWorld
 from bench.pool._sites import SITES
 
+from cuminstack.core import InstanceId, JobKey
+from cuminstack.pool import (
+    JobRequest,
+    QueueTerms,
+    Resources,
+    Step,
+    Submission,
+)
+from cuminstack.pool._reservations import expected_ends
+from cuminstack.pool._speed_classes import unit_slowness
+
+_OTHER = InstanceId('other')
+
 
 def _play(name: str, *, load: float, seed: int) -> list[Served]:
     site = next(site for site in SITES if site.name == name)
@@ -82,3 +95,62 @@
         world.run_for(1)
         world.check()
         assert world.took_ms('large') < 600
+
+
+class TestReservedTask:
+    """Tasks for which an endpoint is reserved."""
+
+    # Guards against a reserved task that is started although its entry
+    # instance is silent, and may have handed the job to another dispatcher.
+    @pytest.mark.parametrize('is_silent', [False, True])
+    def test_job_of_silent_entry_is_not_started(
+        self, *, is_silent: bool
+    ) -> None:
+        world = PoolWorld(workers=1, order='first-come')
+        world.submit(JobPlan('half', 1, 0.6, millicores=8000))
+        _submit_from(world, _OTHER)
+        world.submit(JobPlan('first', 1, 0.03, millicores=4000))
+        world.run_for(0.2)
+        assert world.dispatcher.look_ahead['reservations'] == 1
+        if not is_silent:
+            world.every(0.1, partial(_record_contact, world))
+        world.run_for(0.8)
+        started = {span.run.task.job for span in world.spans}
+        assert ('large' in started) == (not is_silent)
+
+    # Guards against reservations that count on capacity at once because the
+    # run that uses it is overdue.
+    def test_overdue_run_is_expected_to_go_on(self) -> None:
+        world = PoolWorld(workers=1)
+        world.submit(JobPlan('late', 1, 1, declared=0.2))
+        world.run_for(0.1)
+        endpoint = world.dispatcher.endpoints[0]
+        run = next(iter(endpoint.runs.values()))
+        begun_at = run.confirmed_at
+        assert begun_at is not None
+        for seconds, expected in ((0.1, 0.2), (0.5, 0.8)):
+            now = begun_at + seconds
+            ends = expected_ends(endpoint, unit_slowness, now=now)
+            assert ends[0][0] == pytest.approx(begun_at + expected)
+            assert ends[0][1] == run.needs
+
+
+def _record_contact(world: PoolWorld) -> None:
+    world.dispatcher.record_entry_contact(_OTHER, world.now)
+
+
+def _submit_from(world: PoolWorld, entry: InstanceId) -> None:
+    """Submit a job with one large task from an entry instance."""
+    plan = JobPlan('large', 1, 0.1, millicores=11000)
+    key = JobKey(plan.key)
+    world.plans[key] = plan
+    step = Step(1, Resources(plan.millicores, 64), plan.seconds)
+    submission = Submission(
+        request=JobRequest(key, 'queue', 'payload', (step,)),
+        terms=QueueTerms('queue', SERVICE, slack=1),
+        entry=entry,
+        arrived_at=world.now,
+        deadline=world.now + 5,
+    )
+    world.dispatcher.record_entry_contact(entry, world.now)
+    world.perform(world.dispatcher.submit(submission, now=world.now))
