--- a/src/cuminstack/pool/_speed_classes.py
+++ b/src/cuminstack/pool/_speed_classes.py
@@ -17,6 +17,8 @@
 
 def speed_class_of(slowness: float) -> int:
     """Return the number of a speed class; the fastest is the lowest."""
+    if slowness == 1:
+        return 0
     bounded = min(max(slowness, 1 / _MAX_SLOWNESS), _MAX_SLOWNESS)
     return round(math.log(bounded) / _CLASS_WIDTH)
 
