--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -154,3 +154,11 @@
         label='at_most',
         read=lambda: role.slowness_counts,
     )
+    exposition.add_gauge(
+        'cuminstack_look_ahead',
+        'Reservations, starts on reserved endpoints, backfills since the term '
+        'began, and the longest time in seconds for which a job was passed '
+        'over.',
+        label='kind',
+        read=lambda: role.look_ahead,
+    )
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -78,18 +78,23 @@
         self._lateness_monitor = LatenessMonitor()
         self._swept_at: float = 0
         self._numbers = count()
-        self._capacity_index = CapacityIndex()
+        self._speeds = EndpointSpeeds(self._endpoints)
+        self._capacity_index = CapacityIndex(slowness=self._speeds.slowness)
         self._evacuated_zones = EvacuatedZones()
         self._last_contacts: dict[EndpointId, float] = {}
         queue = JobQueue(order)
         self._jobs = JobTable(queue, term=term)
-        self._speeds = EndpointSpeeds(self._endpoints)
         self._runs = RunTracker(
             self._endpoints,
             self._jobs,
             RunAssessor(self._jobs, self._speeds, self._capacity_index),
         )
-        self._assigner = Assigner(self._endpoints, self._capacity_index, queue)
+        self._assigner = Assigner(
+            self._endpoints,
+            self._capacity_index,
+            queue,
+            slowness=self._speeds.slowness,
+        )
         self._admission = AdmissionControl(
             self._jobs, Load(self._capacity_index, queue)
         )
@@ -109,6 +114,11 @@
         """Number of jobs without a started task, by queue."""
         return self._jobs.waiting
 
+    @property
+    def look_ahead(self) -> dict[str, float]:
+        """Counts of reservations and backfills, and seconds passed over."""
+        return self._assigner.look_ahead_counts.as_dict()
+
     def has_active_job(self, key: JobKey) -> bool:
         """Return whether a job is present and a client waits for it."""
         job = self._jobs.find(key)
--- a/src/cuminstack/pool/_endpoint.py
+++ b/src/cuminstack/pool/_endpoint.py
@@ -61,6 +61,7 @@
             not known.
         first_percent: Its progress when it was claimed and listed, 0 to 100.
         first_listed_at: Time of that listing; 0 if there was none.
+        expected_seconds: Expected run time at slowness 1.0; 0 if unknown.
     """
 
     key: RunKey
@@ -74,6 +75,7 @@
     is_claimed: bool = False
     first_percent: float = 0
     first_listed_at: float = 0
+    expected_seconds: float = 0
 
 
 class Endpoint:
--- a/src/cuminstack/pool/_placement.py
+++ b/src/cuminstack/pool/_placement.py
@@ -27,7 +27,9 @@
 
     Endpoints that run at normal speed come first, then those that are warmed
     up, then those in the rack with the data, then those without recent
-    failures, then the one with the fewest free millicores.
+    failures, then the fastest ones, then the one with the fewest free
+    millicores.  Speeds are compared by class, see `CapacityIndex`; where all
+    are in one class, only the free millicores count.
 
     Args:
         candidates: Endpoints of the service that may get starts.
@@ -61,8 +63,11 @@
 
 
 def _fits(endpoint: Endpoint, task: Task, step: Step) -> bool:
-    if not endpoint.free.can_fit(step.needs):
-        return False
+    return endpoint.free.can_fit(step.needs) and may_host(endpoint, task, step)
+
+
+def may_host(endpoint: Endpoint, task: Task, step: Step) -> bool:
+    """Return whether labels and spread admit a task, whatever is free."""
     if step.label and step.label not in endpoint.report.labels:
         return False
     return not step.spread or _count_step_runs(endpoint, task) < step.spread
--- a/src/cuminstack/pool/_progress.py
+++ b/src/cuminstack/pool/_progress.py
@@ -3,7 +3,7 @@
 import enum
 import math
 from bisect import bisect_left
-from itertools import islice
+from itertools import chain, islice
 from typing import Final, NamedTuple
 
 from cuminstack.core import EndpointId
@@ -254,10 +254,16 @@
         """
         task = job.tasks[run.key.task]
         step = job.steps[run.key.task.step]
-        startable = self._capacity_index.startable(job.terms.service)
-        first = bisect_left(startable, (step.needs.millicores,))
+        classes = self._capacity_index.startable(job.terms.service)
+        # Fast endpoints come first.
+        fitting = chain.from_iterable(
+            islice(
+                entries, bisect_left(entries, (step.needs.millicores,)), None
+            )
+            for entries in classes
+        )
         avoided = {endpoint.report.endpoint, *task.failed_on}
-        for each in islice(startable, first, first + _MAX_EXAMINED):
+        for each in islice(fitting, _MAX_EXAMINED):
             other = each.endpoint.report.endpoint
             is_healthy = not each.endpoint.health.is_quarantined(now=now)
             is_usable = is_healthy and other not in avoided
--- a/src/cuminstack/pool/_rooms.py
+++ b/src/cuminstack/pool/_rooms.py
@@ -1,45 +1,63 @@
 """Endpoints by service, and those that accept starts by free capacity.
 
 A start or an end of a run changes the free capacity of one endpoint only, so
-the other endpoints keep their positions between events.
+the other endpoints keep their positions between events.  Endpoints of clearly
+different speeds are indexed apart, so that the fast ones can come first.
 """
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Collection, Container, Iterator, Sequence
-from itertools import islice
+from collections.abc import (
+    Callable,
+    Collection,
+    Container,
+    Iterable,
+    Iterator,
+    Sequence,
+)
+from itertools import chain, islice
 from typing import NamedTuple
 
 from cuminstack.core import EndpointId
 from cuminstack.pool._endpoint import Endpoint, Phase
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._records import Resources
+from cuminstack.pool._speed_classes import (
+    FreeCapacity,
+    SpeedClasses,
+    speed_class_of,
+    unit_slowness,
+)
 
 
-class FreeCapacity(NamedTuple):
-    """Sort entry of an endpoint; the one with the least free comes first.
+class _Position(NamedTuple):
+    """Where an endpoint is indexed."""
 
-    Args:
-        millicores: Free millicores of the endpoint.
-        number: Serial number of the endpoint, which breaks ties.
-        endpoint: The endpoint.
-    """
-
-    millicores: int
-    number: int
-    endpoint: Endpoint
+    service: str
+    speed_class: int
+    capacity: FreeCapacity
 
 
 class CapacityIndex:
-    """Index of endpoints and their capacity, by service."""
+    """Index of endpoints and their capacity, by service.
+
+    Args:
+        slowness: Returns the factor on run times at an endpoint, compared
+            with the mean of its service.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        slowness: Callable[[EndpointId], float] = unit_slowness,
+    ) -> None:
+        self._slowness = slowness
         self._changed: dict[int, Endpoint] = {}
-        self._positions: dict[int, tuple[str, FreeCapacity]] = {}
+        self._positions: dict[int, _Position] = {}
         self._services: dict[int, str] = {}
         self._members: defaultdict[str, dict[int, Endpoint]] = defaultdict(dict)
-        self._startable: defaultdict[str, list[FreeCapacity]] = defaultdict(
-            list
+        self._startable: defaultdict[str, SpeedClasses] = defaultdict(
+            SpeedClasses
         )
         # Service and millicores of each endpoint that accepts starts now or
         # will, including quarantined ones.
@@ -54,13 +72,17 @@
         """Mark an endpoint that was added, changed or removed."""
         self._changed[endpoint.number] = endpoint
 
-    def startable(self, service: str) -> Sequence[FreeCapacity]:
+    def startable(self, service: str) -> Sequence[Sequence[FreeCapacity]]:
         """Return the endpoints of a service that accept starts now.
 
-        Later calls change the returned list; events between calls do not.
+        Later calls change the returned lists; events between calls do not.
+
+        Returns:
+            Endpoints by free capacity, for each speed class, the fastest
+            first.
         """
         self._apply_changes()
-        return self._startable[service]
+        return self._startable[service].lists
 
     def members(self, service: str) -> Collection[Endpoint]:
         """Return the endpoints of a service, except gone or evacuated ones."""
@@ -136,15 +158,19 @@
     def _update_startable(self, endpoint: Endpoint) -> None:
         known = self._positions.pop(endpoint.number, None)
         if known is not None:
-            name, capacity = known
-            startable = self._startable[name]
-            startable.pop(bisect_left(startable, capacity))
+            self._startable[known.service].remove(
+                known.speed_class, known.capacity
+            )
         if endpoint.takes_starts:
             name = endpoint.report.service
             free = endpoint.free.millicores
             capacity = FreeCapacity(free, endpoint.number, endpoint)
-            insort(self._startable[name], capacity)
-            self._positions[endpoint.number] = (name, capacity)
+            speed_class = speed_class_of(
+                self._slowness(endpoint.report.endpoint)
+            )
+            self._startable[name].add(speed_class, capacity)
+            position = _Position(name, speed_class, capacity)
+            self._positions[endpoint.number] = position
 
 
 class StartCandidates:
@@ -158,17 +184,25 @@
         capacity_index: Index of the endpoints.
         service: Name of the service.
         now: The time in seconds.
+        reserved: Serial numbers of endpoints that are left out, as they are
+            reserved.
     """
 
     def __init__(
-        self, capacity_index: CapacityIndex, service: str, *, now: float
+        self,
+        capacity_index: CapacityIndex,
+        service: str,
+        *,
+        now: float,
+        reserved: Container[int] = (),
     ) -> None:
+        self._reserved = reserved
         self._capacity_index = capacity_index
         self._service = service
         self._now = now
         self._has_healthy = any(
             not each.endpoint.health.is_quarantined(now=now)
-            for each in self._startable
+            for each in self._all_startable
         )
         self._max_free: Resources | None = None
         self.refresh()
@@ -179,17 +213,23 @@
         return self._max_millicores
 
     @property
-    def _startable(self) -> Sequence[FreeCapacity]:
+    def size(self) -> int:
+        """Number of endpoints that accept starts, full ones included."""
+        return sum(map(len, self._startable))
+
+    @property
+    def _startable(self) -> Sequence[Sequence[FreeCapacity]]:
         return self._capacity_index.startable(self._service)
 
+    @property
+    def _all_startable(self) -> Iterable[FreeCapacity]:
+        return chain.from_iterable(self._startable)
+
     def refresh(self) -> None:
         """Recompute the most free millicores, after a start."""
-        largest = (
-            each.millicores
-            for each in reversed(self._startable)
-            if self._has_room(each.endpoint)
+        self._max_millicores = max(
+            map(self._most_millicores, self._startable), default=-1
         )
-        self._max_millicores = next(largest, -1)
 
     def record_miss(self) -> None:
         """Record that a task did not fit, to spare other jobs the search.
@@ -212,22 +252,41 @@
         return any(self._max_free.can_fit(needs) for needs in job.ready_needs)
 
     def with_free(self, millicores: int) -> Iterator[Endpoint]:
-        """Yield candidates with so many millicores free, in ascending order."""
-        startable = self._startable
-        first = bisect_left(startable, (millicores,))
-        for each in islice(startable, first, None):
-            if self._has_room(each.endpoint):
-                yield each.endpoint
+        """Yield candidates with so many millicores free.
+
+        Those of the fastest class come first; within a class, they are in
+        ascending order.
+        """
+        for startable in self._startable:
+            first = bisect_left(startable, (millicores,))
+            for each in islice(startable, first, None):
+                if self._has_room(each.endpoint):
+                    yield each.endpoint
+
+    def most_free(self, limit: int) -> Iterator[Endpoint]:
+        """Yield up to so many candidates of each class, the most free first."""
+        for startable in self._startable:
+            for each in islice(reversed(startable), limit):
+                if self._has_room(each.endpoint):
+                    yield each.endpoint
 
     def has_any_except(self, excluded: Container[EndpointId]) -> bool:
         """Return whether any candidate, full or not, is outside a set."""
         return any(
             each.endpoint.report.endpoint not in excluded
-            for each in self._startable
+            for each in self._all_startable
             if self._may_start(each.endpoint)
         )
 
+    def _most_millicores(self, startable: Sequence[FreeCapacity]) -> int:
+        for each in reversed(startable):
+            if self._has_room(each.endpoint):
+                return each.millicores
+        return -1
+
     def _has_room(self, endpoint: Endpoint) -> bool:
+        if endpoint.number in self._reserved:
+            return False
         is_probed = endpoint.health.is_on_probation and bool(endpoint.runs)
         if is_probed or endpoint.is_filled(now=self._now):
             return False
--- a/src/cuminstack/pool/_runs.py
+++ b/src/cuminstack/pool/_runs.py
@@ -298,7 +298,12 @@
                 endpoint.remove_foreign_run(key)
                 needs = job.steps[task.key.step].needs
                 run = Run(
-                    key, needs, sent_at=now, confirmed_at=now, is_claimed=True
+                    key,
+                    needs,
+                    sent_at=now,
+                    confirmed_at=now,
+                    is_claimed=True,
+                    expected_seconds=job.expected_seconds[task.key.step],
                 )
                 endpoint.add(run)
                 job.claim(task, key, endpoint.report.endpoint)
--- a/tests/fakes_pool.py
+++ b/tests/fakes_pool.py
@@ -108,7 +108,13 @@
 class RandomPool:
     """Endpoints that change at random, and jobs to place on them."""
 
-    def __init__(self, seed: int, *, order: str = 'first-come') -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        order: str = 'first-come',
+        max_reservations: int = 0,
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.capacity_index = CapacityIndex()
@@ -120,6 +126,7 @@
             {each.report.endpoint: each for each in self.endpoints},
             self.capacity_index,
             self.queue,
+            max_reservations=max_reservations,
         )
         self.jobs = 0
 
