Refuse or end jobs that can't be useful

Requests whose callers wait far longer than an answer is useful were held until their deadline, or answered when it was too late. A job that has not run is refused once it can't be answered before its end of usefulness. One of which tasks may have run is ended at once, with the answer that it may have run, while none of its tasks is running and other jobs wait. Queues without an objective and jobs without declared run times keep the deadline. The run times that were measured for a job extend its usefulness, so jobs that take several times as long as usual are not mistaken for late ones.

--- a/bench/pool/_world.py
+++ b/bench/pool/_world.py
@@ -61,6 +61,7 @@
     attempts: int = 2
     slack: float = 0.06
     priority: int = 0
+    queue: str = 'queue'
 
 
 @dataclass
@@ -150,9 +151,9 @@
             estimate=plan.declared or plan.seconds,
         )
         submission = Submission(
-            request=JobRequest(key, 'queue', 'payload', (step,)),
+            request=JobRequest(key, plan.queue, 'payload', (step,)),
             terms=QueueTerms(
-                'queue',
+                plan.queue,
                 SERVICE,
                 priority=plan.priority,
                 attempts=plan.attempts,
--- a/src/cuminstack/fleet/_answers.py
+++ b/src/cuminstack/fleet/_answers.py
@@ -8,12 +8,21 @@
 
 
 class Failure(enum.Enum):
-    """Reason why an entry ended a job without a result of its tasks."""
+    """Reason why a job was ended without a result of its tasks.
+
+    Attributes:
+        deadline: Its caller has stopped waiting.
+        no_dispatcher: No dispatcher was in touch.
+        interrupted: Tasks that an earlier dispatcher started may have run.
+        leaving: Its entry is about to end.
+        useless: Its answer could not be useful to the caller any more.
+    """
 
     deadline = 'deadline'
     no_dispatcher = 'no_dispatcher'
     interrupted = 'interrupted'
     leaving = 'leaving'
+    useless = 'useless'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -270,6 +270,8 @@
                 self._mark_taken(sender, reply.job)
             case UnknownJobs():
                 return self._resubmit(sender, reply.jobs, now)
+            case Ended(useless=True):
+                return self._answer(reply.job, MayHaveRun(Failure.useless))
             case Ended():
                 return self._answer(reply.job, Completed(reply.state))
             case Refused():
--- a/src/cuminstack/fleet/_dispatcher_service.py
+++ b/src/cuminstack/fleet/_dispatcher_service.py
@@ -7,12 +7,12 @@
 from cuminstack.fleet._dispatcher_client import ENTRY_LEASE_SECONDS
 from cuminstack.fleet._messages import (
     Dropped,
-    Ended,
     EntryBeat,
     Refused,
     Submit,
     Taken,
     UnknownJobs,
+    make_ended,
 )
 from cuminstack.pool import (
     Dispatcher,
@@ -171,7 +171,7 @@
             match effect:
                 case JobEnded():
                     self._forget(effect.entry, effect.job)
-                    ended = Ended(effect.job, effect.state)
+                    ended = make_ended(effect.job, effect.state)
                     yield Send(effect.entry, ended)
                 case JobRefused():
                     self._forget(effect.entry, effect.job)
@@ -224,7 +224,7 @@
         for key in keys:
             state = self._dispatcher.recent_outcome(key)
             if state is not None:
-                yield Send(entry, Ended(key, state))
+                yield Send(entry, make_ended(key, state))
             elif not self._dispatcher.has_active_job(key):
                 unknown.append(key)
         if unknown:
--- a/src/cuminstack/fleet/_messages.py
+++ b/src/cuminstack/fleet/_messages.py
@@ -162,10 +162,26 @@
 @message('fleet.ended')
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """The final answer of a job."""
+    """The final answer of a job.
+
+    Args:
+        job: Key of the job.
+        state: Its final state; `failed` if it was ended as useless, as
+            receivers of earlier versions know no other state for it.
+        useless: Whether it was ended as it could not be useful any more; it
+            isn't known which of its tasks ran.
+    """
 
     job: JobKey
     state: JobState
+    useless: bool = False
+
+
+def make_ended(job: JobKey, state: JobState) -> Ended:
+    """Return the message that reports the final state of a job."""
+    if state is JobState.useless:
+        return Ended(job, JobState.failed, useless=True)
+    return Ended(job, state)
 
 
 @message('fleet.refused')
--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -10,6 +10,7 @@
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import Step
 from cuminstack.pool._rooms import CapacityIndex
+from cuminstack.pool._usefulness import can_be_useful
 
 #: Retry delay if no endpoint serves the job; endpoints send a heartbeat
 #: every 1.5 s.
@@ -59,7 +60,7 @@
 
     Returns:
         A refusal if no endpoint serves the job, if no endpoint is large
-        enough, or if the job would miss its deadline.
+        enough, or if the answer would come too late to be useful.
     """
     members = load.capacity_index.members(job.terms.service)
     if not members:
@@ -68,22 +69,11 @@
     if not all(_fits_anywhere(step, members) for step in job.steps):
         return _refuse(job, RefusalReason.no_room, _NO_ROOM_RETRY_SECONDS)
     wait = load.estimate_wait(job, now=now)
-    if job.finish_time(now + wait) <= job.submission.deadline:
+    if can_be_useful(job, now + wait):
         return None
     return _refuse(job, RefusalReason.overload, wait)
 
 
-def should_be_shed(job: Job, *, now: float) -> bool:
-    """Return whether a waiting job can no longer meet its deadline.
-
-    A job of which any task may have run is never shed, as a refusal states
-    that no task has run.
-    """
-    if job.finish_time(now) <= job.submission.deadline:
-        return False
-    return not job.may_have_run
-
-
 def make_overload_refusal(job: Job, load: Load, *, now: float) -> JobRefused:
     """Return a refusal for overload, with the estimated wait as retry delay."""
     wait = load.estimate_wait(job, now=now)
--- a/src/cuminstack/pool/_effects.py
+++ b/src/cuminstack/pool/_effects.py
@@ -32,10 +32,18 @@
 
 
 class JobState(enum.Enum):
-    """Final state of a job."""
+    """Final state of a job.
+
+    Attributes:
+        completed: All its tasks are done.
+        failed: A task failed too often.
+        useless: It could not be useful any more, and was ended while tasks
+            were waiting; it isn't known which of its tasks ran.
+    """
 
     completed = 'completed'
     failed = 'failed'
+    useless = 'useless'
 
 
 class RefusalReason(enum.Enum):
@@ -43,7 +51,7 @@
 
     Attributes:
         no_room: No endpoint of the service is large enough for a task.
-        overload: The job would miss its deadline.
+        overload: The job would be answered too late to be useful.
         not_serving: No endpoint of the service is known.
     """
 
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -86,6 +86,7 @@
     ready_needs: tuple[Resources, ...]
     waiting_work: float
     running_work: float
+    remaining_path: float
     is_started: bool
     has_active_runs: bool
 
@@ -174,16 +175,31 @@
     @property
     def objective(self) -> float:
         """Time by which the client expects the answer."""
-        terms = self.terms
-        allowance = self._critical_path * terms.stretch + terms.slack
-        return self.submission.arrived_at + allowance
+        return self.submission.arrived_at + self._allowance()
 
     @property
     def useful_until(self) -> float:
         """Time after which an answer is of little use to the client."""
-        arrived_at = self.submission.arrived_at
-        span = (self.objective - arrived_at) * _USEFUL_FACTOR
-        return min(arrived_at + span, self.submission.deadline)
+        return self.useful_until_at(1)
+
+    @property
+    def pace(self) -> float:
+        """Lowest measured ratio of actual to expected run time, at least 1.
+
+        A few jobs take several times as long as usual, so their objective is
+        later than expected as well.
+        """
+        ratios = [ratio for _, ratio in self.run_time_ratios.values()]
+        return max(1, min(ratios, default=1))
+
+    @property
+    def remaining_path(self) -> float:
+        """Expected seconds for the steps that are not done, one by one.
+
+        Steps that don't depend on each other run at the same time.  A running
+        task counts in full.
+        """
+        return self._summary.remaining_path
 
     @property
     def waiting_work(self) -> float:
@@ -201,6 +217,16 @@
             self._cached_summary = self._summarize()
         return self._cached_summary
 
+    def useful_until_at(self, pace: float) -> float:
+        """Return the end of usefulness if run times are longer than expected.
+
+        Args:
+            pace: Ratio of actual to expected run times.
+        """
+        submission = self.submission
+        span = self._allowance(pace) * _USEFUL_FACTOR
+        return min(submission.arrived_at + span, submission.deadline)
+
     def finish_time(self, start: float) -> float:
         """Return the time at which the job is done if it starts at `start`."""
         return start + self._critical_path
@@ -248,6 +274,11 @@
             self._unfinished[task.key.step] -= 1
             self._notify_change()
 
+    def _allowance(self, pace: float = 1) -> float:
+        """Return the seconds from arrival to the objective."""
+        terms = self.terms
+        return self._critical_path * pace * terms.stretch + terms.slack
+
     def _place(self, task: Task, endpoint: EndpointId) -> None:
         task.state = TaskState.placed
         task.endpoint = endpoint
@@ -271,12 +302,24 @@
             ready_needs=tuple(self.steps[step].needs for step in steps),
             waiting_work=self._work_of(TaskState.waiting),
             running_work=self._work_of(TaskState.placed),
+            remaining_path=self._remaining_path(),
             is_started=any(task.number > self._first_number for task in tasks),
             has_active_runs=any(
                 task.state is TaskState.placed for task in tasks
             ),
         )
 
+    def _remaining_path(self) -> float:
+        return _critical_path_seconds(
+            self.steps,
+            tuple(
+                seconds if unfinished else 0
+                for seconds, unfinished in zip(
+                    self.expected_seconds, self._unfinished, strict=True
+                )
+            ),
+        )
+
     def _work_of(self, state: TaskState) -> float:
         return sum(
             self.expected_seconds[task.key.step]
--- a/src/cuminstack/pool/_notes.py
+++ b/src/cuminstack/pool/_notes.py
@@ -11,6 +11,7 @@
 from cuminstack.pool._pace import LatenessMonitor
 from cuminstack.pool._progress import Verdict
 from cuminstack.pool._records import RunKey
+from cuminstack.pool._usefulness import end_of_usefulness
 
 #: Decimal places of times in seconds.
 _DIGITS: Final = 3
@@ -32,6 +33,7 @@
             ('key', refusal.job),
             ('reason', refusal.reason),
             ('left', round(job.submission.deadline - now, _DIGITS)),
+            ('useful', round(end_of_usefulness(job) - now, _DIGITS)),
             ('needed', round(needed, _DIGITS)),
             ('wait', round(refusal.retry_after, _DIGITS)),
         ),
@@ -64,6 +66,25 @@
     )
 
 
+def useless_event(job: Job, *, now: float) -> LogEvent:
+    """Describe the progress of a job that is ended as useless."""
+    submission = job.submission
+    states = Counter(task.state for task in job.tasks.values())
+    return LogEvent(
+        'job.useless',
+        (
+            ('key', submission.request.key),
+            ('after', round(now - submission.arrived_at, _DIGITS)),
+            ('useful', round(end_of_usefulness(job) - now, _DIGITS)),
+            ('needed', round(job.remaining_path, _DIGITS)),
+            ('pace', round(job.pace, _DIGITS)),
+            ('waiting', states[TaskState.waiting]),
+            ('done', states[TaskState.done]),
+            ('resumed', submission.is_resumed),
+        ),
+    )
+
+
 def pace_event(monitor: LatenessMonitor) -> LogEvent:
     """Describe whether the process keeps up with its ticks."""
     return LogEvent(
--- a/src/cuminstack/pool/_queue.py
+++ b/src/cuminstack/pool/_queue.py
@@ -104,6 +104,12 @@
         ahead = bisect_right(self._positions[service], (rank.key, math.inf))
         return sum(self._works[service][:ahead])
 
+    def has_others(self, job: Job, *, now: float) -> bool:
+        """Return whether another job of the same service waits."""
+        self.waiting(now=now)
+        own = int(job.number in self._ranks)
+        return len(self._positions[job.terms.service]) > own
+
     def running_work(self, *, now: float) -> float:
         """Return the work of all running tasks, in millicore-seconds."""
         self.waiting(now=now)
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -6,16 +6,16 @@
     Load,
     find_refusal,
     make_overload_refusal,
-    should_be_shed,
 )
-from cuminstack.pool._effects import Effect, Effects, JobRefused
+from cuminstack.pool._effects import Effect, Effects, JobRefused, JobState
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job
-from cuminstack.pool._notes import refusal_event
+from cuminstack.pool._notes import refusal_event, useless_event
+from cuminstack.pool._usefulness import should_be_ended, should_be_refused
 
 
 class AdmissionControl:
-    """Refuses jobs that cannot be served in time, and records the refusals.
+    """Refuses or ends jobs that can't be useful, and records it.
 
     Args:
         jobs: All known jobs.
@@ -38,17 +38,31 @@
         return self._refuse(job, refusal, now)
 
     def shed_waiting(self, *, now: float) -> Iterator[Effect]:
-        """Refuse waiting jobs that can no longer meet their deadlines.
+        """Refuse or end waiting jobs that can no longer be useful.
 
         Yields:
-            The refusals and their log events.
+            The refusals, the ends of jobs that may have run, and log events.
         """
         for job in self._jobs.live:
-            if should_be_shed(job, now=now):
+            if should_be_refused(job, now=now):
                 refusal = make_overload_refusal(job, self._load, now=now)
                 self._jobs.abandon(job, now=now)
                 self._jobs.discard_if_done(job)
                 yield from self._refuse(job, refusal, now)
+            elif self._should_be_ended(job, now):
+                yield useless_event(job, now=now)
+                yield self._jobs.end(job, JobState.useless, now=now)
+                self._jobs.discard_if_done(job)
+
+    def _should_be_ended(self, job: Job, now: float) -> bool:
+        """Return whether a job is useless and others wait for its capacity.
+
+        Without others, its end costs nobody anything, and the caller may
+        still have a use for it.
+        """
+        return should_be_ended(job, now=now) and self._load.queue.has_others(
+            job, now=now
+        )
 
     def _refuse(self, job: Job, refusal: JobRefused, now: float) -> Effects:
         self._jobs.record_refusal(refusal.job, now=now)
--- /dev/null
+++ b/src/cuminstack/pool/_usefulness.py
@@ -0,0 +1,61 @@
+"""Usefulness of jobs over time, on which admission and shedding are based.
+
+An answer is in time until the objective of its job, late until the end of
+usefulness, and useless after that: a time-utility function with two steps
+(Jensen, Locke and Tokuda, "A time-driven scheduling model for real-time
+operating systems", RTSS 1985).
+"""
+
+from cuminstack.pool._jobs import Job
+
+
+def end_of_usefulness(job: Job, *, pace: float = 1) -> float:
+    """Return the time in seconds after which an answer is useless.
+
+    It is the deadline of the caller if the queue has no objective, or if run
+    times aren't declared, so that the objective isn't known.
+
+    Args:
+        job: The job.
+        pace: Ratio of its actual to its expected run times.
+    """
+    has_objective = job.terms.slack > 0 or job.terms.stretch > 1
+    if has_objective and all(step.estimate for step in job.steps):
+        return job.useful_until_at(pace)
+    return job.submission.deadline
+
+
+def can_be_useful(job: Job, start: float) -> bool:
+    """Return whether a job that has not run can be useful.
+
+    Args:
+        job: A job of which no task has run.
+        start: Time in seconds at which its first tasks start.
+    """
+    return start + job.remaining_path <= end_of_usefulness(job)
+
+
+def should_be_refused(job: Job, *, now: float) -> bool:
+    """Return whether a waiting job can't be useful any more and has not run.
+
+    A job of which any task may have run is never refused, as a refusal states
+    that no task has run.
+    """
+    return not (job.may_have_run or can_be_useful(job, now))
+
+
+def should_be_ended(job: Job, *, now: float) -> bool:
+    """Return whether a job that may have run can't be useful any more.
+
+    It is ended only while none of its tasks can be running and tasks wait.
+    Its remaining time is compared at the lowest run time that was measured
+    for it, so a job that takes several times as long as usual isn't mistaken
+    for one that is late.
+    """
+    if job.has_active_runs or not job.may_have_run or job.is_done:
+        return False
+    if now < job.submission.held_until:
+        return False
+    pace = job.pace
+    finish = now + job.remaining_path * pace
+    return finish > end_of_usefulness(job, pace=pace)
