Rank started jobs first

Jobs that were started and then passed over by shorter ones were ended as useless after part of their work was done, and late ones waited behind all others for their last task. Started jobs now come before new ones of the same band, and a late one keeps its rank while a third of its work or less waits. The time left is that of the remaining steps.

--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -18,6 +18,8 @@
 #: Multiple of the time to the objective after which an answer is of little use
 #: to most clients.
 _USEFUL_FACTOR: Final = 3.0
+#: Least work of a job, in millicore-seconds, as it divides other work.
+_MIN_WORK: Final = 1e-6
 
 
 class TaskState(enum.Enum):
@@ -86,6 +88,7 @@
     ready_needs: tuple[Resources, ...]
     waiting_work: float
     running_work: float
+    waiting_share: float
     remaining_path: float
     is_started: bool
     has_active_runs: bool
@@ -126,6 +129,12 @@
             key: Task(key, first_number)
             for key in _task_keys(submission.request)
         }
+        total_work = sum(
+            seconds * step.needs.millicores * step.count
+            for step, seconds in zip(self.steps, expected_seconds, strict=True)
+        )
+        # Tasks may need no processor capacity.
+        self._total_work = max(total_work, _MIN_WORK)
         self._unfinished = [step.count for step in self.steps]
         self._critical_path = _critical_path_seconds(
             self.steps, expected_seconds
@@ -206,6 +215,11 @@
         """Work of the waiting tasks, in millicore-seconds."""
         return self._summary.waiting_work
 
+    @property
+    def waiting_share(self) -> float:
+        """Share of its work whose tasks wait."""
+        return self._summary.waiting_share
+
     @property
     def running_work(self) -> float:
         """Work of the running tasks, in millicore-seconds."""
@@ -297,10 +311,12 @@
             and self._is_unblocked(task.key.step)
         )
         steps = dict.fromkeys(task.key.step for task in ready)
+        waiting_work = self._work_of(TaskState.waiting)
         return _JobSummary(
             ready=ready,
             ready_needs=tuple(self.steps[step].needs for step in steps),
-            waiting_work=self._work_of(TaskState.waiting),
+            waiting_work=waiting_work,
+            waiting_share=waiting_work / self._total_work,
             running_work=self._work_of(TaskState.placed),
             remaining_path=self._remaining_path(),
             is_started=any(task.number > self._first_number for task in tasks),
--- a/src/cuminstack/pool/_orders.py
+++ b/src/cuminstack/pool/_orders.py
@@ -36,6 +36,9 @@
 #: Number of time limits of a job (objective, end of usefulness); each one it
 #: misses moves it down a band.
 _BANDS: Final = 2
+#: Share of the work of a started job below which it keeps its rank when it is
+#: late.  At one half, late jobs delayed too many that could be in time.
+_SMALL_REMAINDER: Final = 0.34
 #: Seconds before a change of band from which the rank is recomputed each time,
 #: as sums of times are subject to rounding errors.
 _ROUNDING_SECONDS: Final = 0.001
@@ -87,14 +90,20 @@
 def useful_first(job: Job, now: float) -> Rank:
     """Rank jobs that can be in time first, by priority and waiting work.
 
-    A job that misses its objective waits behind those that can meet theirs,
-    and a job that can no longer be useful waits behind both.
+    Started jobs come before others, as the work that was done for them is
+    lost if they aren't completed.  A job that misses its objective waits
+    behind those that can meet theirs, unless it was started and little of it
+    still waits.  A job that can no longer be useful waits behind all.
     """
-    finish = job.finish_time(now)
+    finish = now + job.remaining_path
     ahead = [end for end in (job.objective, job.useful_until) if finish <= end]
     priority = min(job.terms.priority, _MAX_PRIORITY)
     weighted = job.waiting_work * _PRIORITY_FACTOR**priority
-    key = (_BANDS - len(ahead), weighted, job.submission.arrived_at)
+    band = _BANDS - len(ahead)
+    if ahead and job.is_started and job.waiting_share < _SMALL_REMAINDER:
+        band = 0
+    is_new = float(not job.is_started)
+    key = (band, is_new, weighted, job.submission.arrived_at)
     if not ahead:
         return Rank(key)
     remaining = min(ahead) - finish
