End useless jobs at entries, and spread Retry-After

Cause: an entry held jobs for a takeover until their deadline or 1 s without a dispatcher, and handed over jobs of a lost dispatcher whose answers could not be useful any more, which delayed those that could. Callers that were refused together were told to come back together.

Change: an entry refuses unsent jobs, and ends sent ones at a change of the dispatcher, once they can't be useful by their declared run times and half as much again. Retry-After is drawn between the wait and twice that.

--- a/src/cuminstack/fleet/_dispatcher_client.py
+++ b/src/cuminstack/fleet/_dispatcher_client.py
@@ -281,14 +281,15 @@
     def tick(self, *, now: float) -> Effects:
         """Answer jobs past their deadline, and send others again.
 
-        Without a dispatcher, jobs are refused that were never sent to one.
+        Without a dispatcher, jobs are refused that were never sent to one, once
+        they can't be useful any more or no takeover is to be expected.
         """
         effects: list[Effect] = []
         for key, pending in tuple(self._pending.items()):
             if now >= pending.deadline:
                 effects.extend(self._expire(key, pending))
-        if now - self._last_beat_at > LEADERLESS_SECONDS:
-            effects.extend(self._refuse_unsent())
+        if not self.has_leader(now=now):
+            effects.extend(self._refuse_unsent(now))
         return (*effects, *self._resend(now))
 
     def _expire(self, key: JobKey, pending: PendingJob) -> Effects:
@@ -303,12 +304,28 @@
         dropped = self.drop(key)
         return (*dropped, Answered(key, answer))
 
-    def _refuse_unsent(self) -> Iterator[Effect]:
+    def _refuse_unsent(self, now: float) -> Iterator[Effect]:
         refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
+        is_lost = now - self._last_beat_at > LEADERLESS_SECONDS
         for key, pending in tuple(self._pending.items()):
-            if not pending.was_sent:
+            is_late = not pending.can_be_useful(now=now)
+            if not pending.was_sent and (is_lost or is_late):
                 yield from self._answer(key, refusal)
 
+    def _end_useless(self, now: float) -> Iterator[Effect]:
+        """End the jobs that the next dispatcher would run for nothing.
+
+        They would delay those that can still be useful.
+        """
+        refusal = NotRun(Failure.no_dispatcher.value, LEADERLESS_SECONDS)
+        for key, pending in tuple(self._pending.items()):
+            if pending.can_be_useful(now=now):
+                continue
+            answer = (
+                MayHaveRun(Failure.useless) if pending.was_sent else refusal
+            )
+            yield from self._answer(key, answer)
+
     def _change_leader(self, leader: InstanceId, now: float) -> Effects:
         """Submit all jobs to a new dispatcher.
 
@@ -324,7 +341,7 @@
         self._has_resigned = False
         self._rivals.clear()
         self._last_beat_at = now
-        effects: list[Effect] = []
+        effects: list[Effect] = list(self._end_useless(now))
         for pending in self._pending.values():
             if pending.was_sent:
                 pending.may_have_run = True
--- a/src/cuminstack/fleet/_pending.py
+++ b/src/cuminstack/fleet/_pending.py
@@ -4,7 +4,7 @@
 
 from cuminstack.core import InstanceId
 from cuminstack.fleet._messages import Submit
-from cuminstack.pool import JobRequest, QueueTerms
+from cuminstack.pool import JobRequest, QueueTerms, latest_useful_start
 
 
 @dataclass(slots=True)
@@ -45,6 +45,15 @@
         """Whether the job was sent to a dispatcher."""
         return self.sent_to is not None
 
+    def can_be_useful(self, *, now: float) -> bool:
+        """Return whether the job can be useful if it starts now."""
+        return now <= latest_useful_start(
+            self.request,
+            self.terms,
+            arrived_at=self.arrived_at,
+            deadline=self.deadline,
+        )
+
     def to_submit(
         self,
         *,
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -1,6 +1,7 @@
 """HTTP API of an entry, for callers and load balancers."""
 
 import math
+import random
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -54,10 +55,17 @@
 
     Args:
         exposition: Metrics that count the answered jobs.
+        random_source: Spreads the times at which refused callers return.
     """
 
-    def __init__(self, exposition: Exposition) -> None:
+    def __init__(
+        self,
+        exposition: Exposition,
+        *,
+        random_source: random.Random | None = None,
+    ) -> None:
         self._exposition = exposition
+        self._random_source = random_source or random.Random()
         self._role: EntryRole | None = None
         self._state = NO_STATE
         self._is_draining = False
@@ -132,7 +140,7 @@
 
     async def _route(self, request: web.Request) -> web.StreamResponse:
         if not self._state.version or self._role is None:
-            return _not_run_response('no_desired_state', _RETRY_AFTER_SECONDS)
+            return self._refuse('no_desired_state', _RETRY_AFTER_SECONDS)
         if _is_header_too_large(request, self._state.max_header_bytes):
             too_large = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             return web.Response(status=too_large)
@@ -169,7 +177,7 @@
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         except UnsupportedJob as error:
             log_event('job.unsupported', LogLevel.info, key=key, error=error)
-            return _not_run_response('unsupported', _RETRY_AFTER_SECONDS)
+            return self._refuse('unsupported', _RETRY_AFTER_SECONDS)
         submitted_at = steady_now()
         timeout = _parse_timeout(request)
         log_event(
@@ -196,7 +204,23 @@
             seconds=round(seconds, _LOG_DECIMALS),
             dispatcher=role.dispatcher,
         )
-        return _to_response(answer)
+        return self._to_response(answer)
+
+    def _to_response(self, answer: Answer) -> web.Response:
+        if isinstance(answer, NotRun):
+            return self._refuse(answer.reason, answer.retry_after)
+        return _to_final_response(answer)
+
+    def _refuse(self, reason: str, retry_after: float) -> web.Response:
+        """Return the response to a job that has not run.
+
+        Callers that are refused together would all come back together and be
+        refused again, so each is told a time of its own: at random between
+        the given one and twice that, in whole seconds.
+        """
+        seconds = max(1, math.ceil(retry_after))
+        spread = self._random_source.randint(seconds, 2 * seconds)
+        return _not_run_response(reason, spread)
 
 
 async def _read_body(request: web.Request, limit: int) -> bytes | None:
@@ -230,12 +254,10 @@
     return min(timeout_ms, _MAX_TIMEOUT_MS) / _MS_PER_SECOND
 
 
-def _to_response(answer: Answer) -> web.Response:
+def _to_final_response(answer: Completed | MayHaveRun) -> web.Response:
     match answer:
         case Completed():
             return web.json_response({'state': answer.state.value})
-        case NotRun():
-            return _not_run_response(answer.reason, answer.retry_after)
         case MayHaveRun():
             is_interrupted = answer.failure is Failure.interrupted
             status = (
@@ -248,14 +270,14 @@
             )
 
 
-def _not_run_response(reason: str, retry_after: float) -> web.Response:
+def _not_run_response(reason: str, retry_after: int) -> web.Response:
     is_overload = reason == RefusalReason.overload.value
     status = (
         HTTPStatus.TOO_MANY_REQUESTS
         if is_overload
         else HTTPStatus.SERVICE_UNAVAILABLE
     )
-    headers = {'Retry-After': str(max(1, math.ceil(retry_after)))}
+    headers = {'Retry-After': str(retry_after)}
     return web.json_response(
         _reason_body(reason), status=status, headers=headers
     )
--- a/src/cuminstack/pool/__init__.py
+++ b/src/cuminstack/pool/__init__.py
@@ -45,6 +45,7 @@
 from cuminstack.pool._speed_table import SpeedFigure, SpeedTable
 from cuminstack.pool._speeds import EndpointSpeeds
 from cuminstack.pool._tokens import MAX_TERM
+from cuminstack.pool._usefulness import latest_useful_start
 from cuminstack.pool._watch import LEASE_SECONDS
 
 __all__ = (
@@ -86,6 +87,7 @@
     'TaskKey',
     'TokensLow',
     'find_order',
+    'latest_useful_start',
     'order_names',
     'register_order',
 )
--- a/src/cuminstack/pool/_jobs.py
+++ b/src/cuminstack/pool/_jobs.py
@@ -18,7 +18,7 @@
 
 #: Multiple of the time to the objective after which an answer is of little use
 #: to most clients.
-_USEFUL_FACTOR: Final = 3.0
+USEFUL_FACTOR: Final = 3.0
 #: Tasks of a step that others are compared with; more would tell little more,
 #: and steps have up to 1,800 tasks.
 _MAX_SIBLINGS: Final = 16
@@ -145,7 +145,7 @@
         # Tasks may need no processor capacity.
         self._total_work = max(total_work, _MIN_WORK)
         self._unfinished = [step.count for step in self.steps]
-        self._critical_path = _critical_path_seconds(
+        self._critical_path = critical_path_seconds(
             self.steps, expected_seconds
         )
         self._cached_summary: _JobSummary | None = None
@@ -251,7 +251,7 @@
             pace: Ratio of actual to expected run times.
         """
         submission = self.submission
-        span = self._allowance(pace) * _USEFUL_FACTOR
+        span = self._allowance(pace) * USEFUL_FACTOR
         return min(submission.arrived_at + span, submission.deadline)
 
     def finish_time(self, start: float) -> float:
@@ -358,7 +358,7 @@
         )
 
     def _remaining_path(self) -> float:
-        return _critical_path_seconds(
+        return critical_path_seconds(
             self.steps,
             tuple(
                 seconds if unfinished else 0
@@ -381,10 +381,11 @@
         return not any(self._unfinished[earlier] for earlier in after)
 
 
-def _critical_path_seconds(
+def critical_path_seconds(
     steps: tuple[Step, ...],
     expected_seconds: tuple[float, ...],
 ) -> float:
+    """Return the run time in seconds of the longest chain of steps."""
     finish_times: list[float] = []
     for step, duration in zip(steps, expected_seconds, strict=True):
         start = max(
--- a/src/cuminstack/pool/_usefulness.py
+++ b/src/cuminstack/pool/_usefulness.py
@@ -6,7 +6,14 @@
 operating systems", RTSS 1985).
 """
 
-from cuminstack.pool._jobs import Job
+from typing import Final
+
+from cuminstack.pool._jobs import USEFUL_FACTOR, Job, critical_path_seconds
+from cuminstack.pool._records import JobRequest, QueueTerms
+
+#: Factor on declared run times that allows for wrong ones.  They are off by up
+#: to 40%, and longer run times put off the objective by more than the answer.
+_MAX_DECLARED_ERROR: Final = 1.5
 
 
 def end_of_usefulness(job: Job, *, pace: float = 1) -> float:
@@ -59,3 +66,36 @@
     pace = job.pace
     finish = now + job.remaining_path * pace
     return finish > end_of_usefulness(job, pace=pace)
+
+
+def latest_useful_start(
+    request: JobRequest,
+    terms: QueueTerms,
+    *,
+    arrived_at: float,
+    deadline: float,
+) -> float:
+    """Return the time after which a job that starts can't be useful.
+
+    It depends on declared run times only, for instances that don't know the
+    actual ones, and errs on the late side.
+
+    Args:
+        request: The job.
+        terms: Terms of its queue.
+        arrived_at: When its caller submitted it, in seconds.
+        deadline: When its caller stops waiting, in seconds.
+
+    Returns:
+        The time in seconds; the deadline if the queue has no objective, or if
+        run times aren't declared.
+    """
+    has_objective = terms.slack > 0 or terms.stretch > 1
+    declared = tuple(
+        step.estimate * _MAX_DECLARED_ERROR for step in request.steps
+    )
+    if not (has_objective and all(declared)):
+        return deadline
+    path = critical_path_seconds(request.steps, declared)
+    span = USEFUL_FACTOR * (path * terms.stretch + terms.slack)
+    return min(arrived_at + span - path, deadline)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -48,6 +48,16 @@
 REQUEST = JobRequest(KEY, 'queue', '', (Step(1, Resources(1000, 64)),))
 
 
+#: Terms with an objective shortly after the run time of a job.
+PROMPT = QueueTerms('queue', 'desk', stretch=1.6, slack=0.06)
+
+
+def _declare(seconds: float, *, key: str = KEY) -> JobRequest:
+    """Return a job with a declared run time."""
+    step = Step(1, Resources(1000, 64), estimate=seconds)
+    return JobRequest(JobKey(key), 'queue', '', (step,))
+
+
 def _control_beat(term: int, *, leads: bool, weight: int = 1) -> ControlBeat:
     return ControlBeat(term, leads, weight, 0, (ONE, TWO))
 
@@ -545,6 +555,39 @@
         assert effect.message.resumed
         assert effect.message.held > 1
 
+    # Guards against jobs that are handed over after a stop though they can't be
+    # useful any more: the next dispatcher ran them before those that could.
+    def test_useless_job_is_not_handed_over(self) -> None:
+        client = self._client()
+        client.submit(_declare(0.05), PROMPT, deadline=9, now=0)
+        client.submit(_declare(1, key='long'), PROMPT, deadline=9, now=0)
+        effects = client.receive_leader_beat(
+            TWO, LeaderBeat(2, 5, (), {}), now=0.8
+        )
+        ended = [each for each in effects if isinstance(each, Answered)]
+        assert ended == [Answered(KEY, MayHaveRun(Failure.useless))]
+        assert client.waiting == 1
+
+    # Guards against jobs that are held for a takeover until they are refused
+    # with all others, though their callers can't use an answer any more.
+    def test_unsent_job_is_refused_once_it_is_useless(self) -> None:
+        client = self._client()
+        client.submit(_declare(0.05), PROMPT, deadline=9, now=0.4)
+        client.submit(_declare(1, key='long'), PROMPT, deadline=9, now=0.4)
+        assert not client.tick(now=0.6)
+        ended = _only(client.tick(now=0.95))
+        assert ended.job == KEY
+        assert isinstance(ended.answer, NotRun)
+
+    # Guards against jobs without an objective, or with longer run times than
+    # declared, that are refused too early.
+    @pytest.mark.parametrize('terms', [TERMS, PROMPT])
+    def test_job_that_may_be_useful_is_held(self, terms: QueueTerms) -> None:
+        client = self._client()
+        seconds = 0.05 if terms == TERMS else 1
+        client.submit(_declare(seconds), terms, deadline=9, now=0.4)
+        assert not client.tick(now=0.95)
+
     def test_live_leader_is_kept_until_it_resigns(self) -> None:
         client = self._client()
         client.receive_leader_beat(TWO, LeaderBeat(9, 5, (), {}), now=0.1)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import AsyncIterator
 from typing import Any, cast
 
@@ -63,13 +64,21 @@
         return self.answer
 
 
+class EarliestReturn:
+    """Draws the lowest number of a range."""
+
+    def randint(self, lowest: int, highest: int) -> int:
+        return lowest
+
+
 class _EntryHarness:
     """The API of an entry with a fake role."""
 
     def __init__(self) -> None:
         self.role = _FakeRole()
         self.exposition = Exposition()
-        self.api = EntryApi(self.exposition)
+        self.random_source = cast(random.Random, EarliestReturn())
+        self.api = EntryApi(self.exposition, random_source=self.random_source)
         self.api.attach(cast(EntryRole, self.role))
 
     def apply_state(self) -> None:
@@ -142,6 +151,20 @@
         if isinstance(answer, Completed):
             assert received[1] == {'state': answer.state.value}
 
+    # Guards against callers that are refused together and all come back
+    # together, to be refused again.
+    async def test_refused_callers_return_spread(
+        self, entry: _EntryHarness
+    ) -> None:
+        entry.api = EntryApi(entry.exposition, random_source=random.Random(1))
+        entry.api.attach(cast(EntryRole, entry.role))
+        entry.apply_state()
+        entry.role.answer = NotRun('overload', 2.5)
+        async with TestClient(TestServer(entry.api.make_app())) as client:
+            other = CallerClient(client)
+            drawn = {(await other.submit())[2] for _ in range(40)}
+        assert drawn == {'3', '4', '5', '6'}
+
     async def test_arguments_of_the_role(
         self, entry: _EntryHarness, caller: CallerClient
     ) -> None:
