Check desired states and settings before they are sent

A desired state was checked only by the control instance that received it, which answers 400 without a location, and stops at the first fault; parts that never take effect were accepted silently.

--- a/src/cuminstack/cli/_program.py
+++ b/src/cuminstack/cli/_program.py
@@ -5,14 +5,22 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final, NoReturn
+from typing import Any, Final
 
 import fire
 import msgspec
 from fire.decorators import SetParseFn
 
 from cuminstack import queries
-from cuminstack.cli._exit import ExitCode, describe, exit_code_of
+from cuminstack.cli._exit import (
+    CheckExitCode,
+    ExitCode,
+    describe,
+    exit_code_of,
+    exit_code_of_report,
+    exit_with_error,
+)
+from cuminstack.cli._files import decode_text, read_file
 from cuminstack.cli._views import render
 from cuminstack.client import BadAddress, ClientError, OperatorClient
 from cuminstack.commands import submit_sheet
@@ -46,13 +54,16 @@
 class Tool:
     """Operate and inspect a cuminstack deployment.
 
-    Commands: submit SHEET, check SHEET, diff OLD NEW, sheet, status, members,
+    Commands: submit SHEET, check FILE, diff OLD NEW, sheet, status, members,
     endpoints, histograms, explain KEY LOG...
-    Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable.
+    Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable; of check for
+    desired states and settings: 0 nothing found, 1 warnings, 2 errors,
+    3 unreadable.
 
     Args:
         instance: Comma-separated addresses of instances, `http://ip:port`;
-            if one can't answer, the next one is tried.
+            if one can't answer, the next one is tried.  By default
+            http://127.0.0.1:8002, except for check.
         timeout: Time limit of the request to one instance, in seconds.
         json: Print JSON instead of tables.
     """
@@ -60,7 +71,7 @@
     def __init__(
         self,
         *,
-        instance: Instances = _DEFAULT_INSTANCE,
+        instance: Instances | None = None,
         timeout: float = _DEFAULT_TIMEOUT_SECONDS,
         json: bool = False,
     ) -> None:
@@ -76,16 +87,20 @@
         """
         return Action(lambda: self._submit(str(sheet)))
 
-    def check(self, sheet: str) -> Action:
-        """Validate a sheet file locally; no request is sent.
+    def check(self, file: str, *, against: str | None = None) -> Action:
+        """Check a sheet, a desired state or settings before they are used.
+
+        No request is sent, except with `--instance` for a desired state.
 
         Args:
-            sheet: Path of the CSV file.
+            file: Path of a CSV, JSON or INI file.
+            against: Path of the version in force, whose differences are
+                shown; the alternative to `--instance`.
         """
         return Action(
-            lambda: self._format_or_exit(
-                queries.check_sheet(_read_file(str(sheet)))
-            ),
+            lambda: self._check(
+                str(file), None if against is None else str(against)
+            )
         )
 
     def diff(self, old: str, new: str) -> Action:
@@ -98,8 +113,8 @@
         return Action(
             lambda: self._format_or_exit(
                 queries.compare_sheets(
-                    _read_file(str(old)),
-                    _read_file(str(new)),
+                    read_file(str(old)),
+                    read_file(str(new)),
                 ),
             ),
         )
@@ -143,23 +158,68 @@
         """
         return Action(lambda: self._explain(str(key), tuple(map(str, logs))))
 
+    def _check(self, path: str, against: str | None) -> str:
+        body = read_file(path, failure=_unreadable_code(path))
+        kind = queries.find_file_kind(path, body.decode(errors='replace'))
+        if kind is None:
+            if against is not None:
+                exit_with_error(
+                    ExitCode.usage, 'use diff OLD NEW to compare sheets'
+                )
+            return self._format_or_exit(queries.check_sheet(body))
+        in_force = self._read_in_force(kind, against)
+        try:
+            report = queries.check_file(
+                kind, decode_text(path, body), in_force=in_force
+            )
+        except queries.NotComparable as error:
+            exit_with_error(
+                CheckExitCode.unreadable, f'version in force: {error}'
+            )
+        shown = self._format_view(report)
+        code = exit_code_of_report(report)
+        if code is CheckExitCode.ok:
+            return shown
+        sys.stdout.write(f'{shown}\n')
+        sys.exit(code)
+
+    def _read_in_force(
+        self, kind: queries.FileKind, against: str | None
+    ) -> str | None:
+        if against is not None and self._instance is not None:
+            exit_with_error(
+                ExitCode.usage, 'give --against or --instance, not both'
+            )
+        if against is not None:
+            body = read_file(against, failure=CheckExitCode.unreadable)
+            return decode_text(against, body)
+        if self._instance is None:
+            return None
+        if not kind.live_path:
+            exit_with_error(
+                ExitCode.usage, f'instances serve no {kind.name}; use --against'
+            )
+        text: str = self._run_request(
+            lambda client: queries.fetch_file(client, kind.live_path),
+            failure=CheckExitCode.unreadable,
+        )
+        return text
+
     def _explain(self, key: str, paths: tuple[str, ...]) -> str:
         events: list[queries.LoggedEvent] = []
         for path in paths:
-            text = _read_file(path).decode(errors='replace')
+            text = read_file(path).decode(errors='replace')
             source = Path(path).stem
             events.extend(queries.read_events(source, text.splitlines()))
         job_events = queries.explain_job(key, events)
         if not job_events:
-            _exit_with_error(
-                ExitCode.refused, f'no log line mentions job {key}'
-            )
+            exit_with_error(ExitCode.refused, f'no log line mentions job {key}')
         return '\n'.join(
             f'{event.source}: {event.text}' for event in job_events
         )
 
     def _submit(self, path: str) -> str:
-        body = _read_file(path)
+        body = read_file(path)
         return self._format_view(
             self._run_request(lambda client: submit_sheet(client, body))
         )
@@ -170,23 +230,25 @@
             sys.stderr.write(f'not included in the sums: {failure}\n')
         return self._format_view(view.merged)
 
-    def _run_request(self, request: _Request) -> Any:
+    def _run_request(
+        self, request: _Request, *, failure: CheckExitCode | None = None
+    ) -> Any:
         try:
             client = OperatorClient(
-                _parse_addresses(self._instance),
+                _parse_addresses(self._instance or _DEFAULT_INSTANCE),
                 timeout_seconds=float(self._timeout),
             )
         except (BadAddress, ValueError) as fault:
-            _exit_with_error(ExitCode.usage, str(fault))
+            exit_with_error(ExitCode.usage, str(fault))
         try:
             return asyncio.run(_send(request, client))
         except ClientError as error:
-            _exit_with_error(exit_code_of(error), describe(error))
+            exit_with_error(failure or exit_code_of(error), describe(error))
 
     def _format_or_exit(self, result: object) -> str:
         if isinstance(result, SheetFaults):
             lines = map(str, result.faults)
-            _exit_with_error(ExitCode.refused, '\n'.join(lines))
+            exit_with_error(ExitCode.refused, '\n'.join(lines))
         return self._format_view(result)
 
     def _format_view(self, view: object) -> str:
@@ -234,13 +296,8 @@
     return tuple(str(each).strip() for each in instance)
 
 
-def _read_file(path: str) -> bytes:
-    try:
-        return Path(path).read_bytes()
-    except OSError as error:
-        _exit_with_error(ExitCode.usage, str(error))
-
-
-def _exit_with_error(code: ExitCode, text: str) -> NoReturn:
-    sys.stderr.write(f'{text}\n')
-    sys.exit(code)
+def _unreadable_code(path: str) -> ExitCode | CheckExitCode:
+    # Sheets keep the exit code that they had before other kinds of files.
+    if path.endswith('.csv'):
+        return ExitCode.usage
+    return CheckExitCode.unreadable
--- a/src/cuminstack/cli/_views.py
+++ b/src/cuminstack/cli/_views.py
@@ -14,6 +14,7 @@
     summarise,
 )
 from cuminstack.queries import (
+    CheckReport,
     EndpointsView,
     MembersView,
     SheetChanges,
@@ -56,6 +57,12 @@
     return render_table(('fact', 'value'), rows)
 
 
+@_renders(CheckReport)
+def _render_report(report: CheckReport) -> str:
+    lines = map(str, report.findings)
+    return '\n'.join(lines) or f'{report.kind}: nothing found'
+
+
 @_renders(SheetChanges)
 def _render_changes(changes: SheetChanges) -> str:
     lines = [f'version {changes.old_version} -> {changes.version}']
--- a/src/cuminstack/platform/_desired_state.py
+++ b/src/cuminstack/platform/_desired_state.py
@@ -19,7 +19,7 @@
     """A desired state is malformed or contradicts itself."""
 
 
-class _Route(msgspec.Struct, rename='camel'):
+class Route(msgspec.Struct, rename='camel'):
     name: str
     host: str
     path_prefix: str
@@ -34,11 +34,11 @@
     stretch: Annotated[float, msgspec.Meta(ge=0, le=_MAX_STRETCH)] = 1
 
 
-class _Service(msgspec.Struct, rename='camel'):
+class Service(msgspec.Struct, rename='camel'):
     name: str
 
 
-class _Limits(msgspec.Struct, rename='camel'):
+class Limits(msgspec.Struct, rename='camel'):
     max_header_bytes: Serial = 0
     max_body_bytes: Serial = 0
     header_timeout_ms: Milliseconds = 0
@@ -47,9 +47,9 @@
 
 class _State(msgspec.Struct, rename='camel'):
     version: Timestamp
-    routes: tuple[_Route, ...]
-    services: tuple[_Service, ...]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +161,7 @@
 
 
 def _check_route(
-    route: _Route,
+    route: Route,
     services: set[str],
     host_prefixes: set[tuple[str, str]],
 ) -> None:
@@ -175,7 +175,7 @@
         raise InvalidState(f'route {route.name}: timeoutMs must be positive')
 
 
-def _make_queue(route: _Route) -> Queue:
+def _make_queue(route: Route) -> Queue:
     terms = QueueTerms(
         name=route.name,
         service=route.service,
--- a/src/cuminstack/queries/__init__.py
+++ b/src/cuminstack/queries/__init__.py
@@ -1,14 +1,28 @@
 """Read-only operator queries, and the types of their JSON responses."""
 
+from cuminstack.queries._checks import (
+    CheckRegistry,
+    CheckReport,
+    FileKind,
+    Finding,
+    NotComparable,
+    Place,
+    Severity,
+    check_file,
+    file_kind,
+    find_file_kind,
+)
 from cuminstack.queries._explain import LoggedEvent, explain_job, read_events
 from cuminstack.queries._fetch import (
     HistogramsView,
     fetch_endpoints,
+    fetch_file,
     fetch_histograms,
     fetch_members,
     fetch_sheet,
     fetch_status,
 )
+from cuminstack.queries._settings_checks import SettingsFiles
 from cuminstack.queries._shapes import (
     EndpointHealth,
     EndpointsView,
@@ -30,9 +44,13 @@
 )
 
 __all__ = (
+    'CheckRegistry',
+    'CheckReport',
     'EndpointHealth',
     'EndpointView',
     'EndpointsView',
+    'FileKind',
+    'Finding',
     'HistogramsView',
     'InstanceState',
     'InstanceView',
@@ -40,18 +58,26 @@
     'LoggedEvent',
     'MemberView',
     'MembersView',
+    'NotComparable',
+    'Place',
+    'SettingsFiles',
+    'Severity',
     'SheetChanges',
     'SheetStanding',
     'SheetSummary',
     'SheetView',
     'StatusView',
+    'check_file',
     'check_sheet',
     'compare_sheets',
     'explain_job',
     'fetch_endpoints',
+    'fetch_file',
     'fetch_histograms',
     'fetch_members',
     'fetch_sheet',
     'fetch_status',
+    'file_kind',
+    'find_file_kind',
     'read_events',
 )
--- a/src/cuminstack/queries/_fetch.py
+++ b/src/cuminstack/queries/_fetch.py
@@ -61,6 +61,24 @@
     return body
 
 
+async def fetch_file(client: OperatorClient, path: str) -> str:
+    """Fetch the version in force of a configuration file.
+
+    Args:
+        client: Client of the instances.
+        path: Path at which they serve it.
+
+    Raises:
+        ClientError: The request was refused, or no instance gave a valid
+            response.
+    """
+    instance, body = await client.fetch('GET', path)
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise MalformedReply(instance, str(error)) from error
+
+
 async def fetch_histograms(client: OperatorClient) -> HistogramsView:
     """Fetch histograms and counts from all instances and sum them.
 
