Read the desired state in force past a control instance that answers 503

Control instances answer 503 with an empty body while no quorum answers. The client took that for a malformed reply and did not try the next instance, although 503 is documented as temporary. It is now Unreachable, whose exit code is the same.

tests/test_check.py::TestStateDifferences::test_version_in_force_at_an_instance fails with the client of the commit before; tests/test_check.py, test_cli.py and test_client.py pass.

--- a/src/cuminstack/cli/_program.py
+++ b/src/cuminstack/cli/_program.py
@@ -20,7 +20,7 @@
     exit_code_of_report,
     exit_with_error,
 )
-from cuminstack.cli._files import decode_text, read_file
+from cuminstack.cli._files import decode_text, read_checked_file, read_file
 from cuminstack.cli._views import render
 from cuminstack.client import BadAddress, ClientError, OperatorClient
 from cuminstack.commands import submit_sheet
@@ -159,7 +159,7 @@
         return Action(lambda: self._explain(str(key), tuple(map(str, logs))))
 
     def _check(self, path: str, against: str | None) -> str:
-        body = read_file(path, failure=_unreadable_code(path))
+        body = read_checked_file(path)
         kind = queries.find_file_kind(path, body.decode(errors='replace'))
         if kind is None:
             if against is not None:
@@ -191,7 +191,7 @@
                 ExitCode.usage, 'give --against or --instance, not both'
             )
         if against is not None:
-            body = read_file(against, failure=CheckExitCode.unreadable)
+            body = read_checked_file(against)
             return decode_text(against, body)
         if self._instance is None:
             return None
@@ -294,10 +294,3 @@
     if isinstance(instance, str):
         instance = instance.split(',')
     return tuple(str(each).strip() for each in instance)
-
-
-def _unreadable_code(path: str) -> ExitCode | CheckExitCode:
-    # Sheets keep the exit code that they had before other kinds of files.
-    if path.endswith('.csv'):
-        return ExitCode.usage
-    return CheckExitCode.unreadable
--- a/src/cuminstack/client/_client.py
+++ b/src/cuminstack/client/_client.py
@@ -161,7 +161,8 @@
                 others answered 503.
             RequestRefused: An instance answered with a problem other than
                 503, or every instance answered 503 (the first is raised).
-            MalformedReply: An error response has no problem document.
+            MalformedReply: An error response other than 503 has no problem
+                document.
         """
         request = _Request(method, path, body, content_type)
         errors: list[ClientError] = []
@@ -229,6 +230,10 @@
         problem = msgspec.json.decode(body, type=Problem)
     except msgspec.DecodeError as error:
         reason = f'status {response.status} without a problem document'
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            # Control instances of the platform answer 503 with an empty body.
+            attempt = Attempt(instance, MalformedReply.__name__, reason)
+            raise Unreachable((attempt,)) from error
         raise MalformedReply(instance, reason) from error
     raise RequestRefused(instance, problem)
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -4,15 +4,25 @@
 import copy
 import json
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cuminstack.cli import CheckExitCode
-from cuminstack.platform._desired_state import InvalidState, decode_state
+from cuminstack.document import InForce, Outcome, Unavailable, Value
+from cuminstack.platform._desired_state import (
+    InvalidState,
+    canonical_body,
+    decode_state,
+)
+from cuminstack.platform._operators import ControlApi
 from cuminstack.queries import Severity, check_file, find_file_kind
+from cuminstack.roles import ControlRole
 from cuminstack.tool import DesiredStateFiles, run
 from operator_fixtures import SHEET, unreachable_url
 
@@ -77,6 +87,16 @@
     return CheckExitCode.ok
 
 
+def make_control_app(outcome: Outcome) -> web.Application:
+    """Return the HTTP API of a control instance that reads an outcome."""
+
+    async def read() -> Outcome:
+        return outcome
+
+    role = cast(ControlRole, SimpleNamespace(read=read))
+    return ControlApi(role).make_app()
+
+
 def write_state(path: Path, *changes: tuple[str, Any]) -> str:
     path.write_text(json.dumps(make_state(*changes)), encoding='utf-8')
     return str(path)
@@ -142,6 +162,27 @@
     def test_not_json(self, text: str, location: str) -> None:
         assert check_state(text) == [('error', location, 'malformed')]
 
+    @given(
+        path=st.sampled_from([row[0] for row in ERRORS + WARNINGS]),
+        value=st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats()
+        | st.sampled_from(['', 's', 'q', '/q/', 'h.example', '\ud800'])
+        | st.lists(st.just({'name': 's'}), max_size=2),
+    )
+    def test_errors_are_what_instances_refuse(
+        self, path: str, value: Any
+    ) -> None:
+        text = json.dumps(make_state((path, value)))
+        has_error = any(each[0] == 'error' for each in check_state(text))
+        try:
+            decode_state(canonical_body(text.encode()))
+        except InvalidState:
+            assert has_error
+        else:
+            assert not has_error
+
     def test_all_errors_are_reported(self) -> None:
         state = make_state(('routes.0.host', 5), ('routes.1.service', 'x'))
         locations = [place for _, place, _ in check_state(json.dumps(state))]
@@ -218,15 +259,15 @@
     async def test_version_in_force_at_an_instance(
         self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
-        async def read(_: web.Request) -> web.Response:
-            return web.json_response(make_state(('version', 6)))
-
-        app = web.Application()
-        app.router.add_get('/api/Config.Read', read)
         path = write_state(tmp_path / 'new.json')
-        async with TestServer(app) as server:
-            url = str(server.make_url('')).rstrip('/')
-            code = await run_tool('check', path, '--instance', url)
+        body = json.dumps(make_state(('version', 6))).encode()
+        outcome = InForce(Value(6, body, ()))
+        async with (
+            TestServer(make_control_app(Unavailable())) as unavailable,
+            TestServer(make_control_app(outcome)) as control,
+        ):
+            urls = f'{unavailable.make_url("")},{control.make_url("")}'
+            code = await run_tool('check', path, '--instance', urls)
         assert code is CheckExitCode.ok
         assert capsys.readouterr().out == (
             'difference $.version: 6 -> 7 (changed)\n'
