--- a/src/cuminstack/document/_document.py
+++ b/src/cuminstack/document/_document.py
@@ -42,6 +42,7 @@
     ReplicaState,
     Value,
 )
+from cuminstack.document._settling import SettleTimer
 
 Effect = Send | Persist | Done | NewInForce
 Effects = tuple[Effect, ...]
@@ -49,26 +50,15 @@
 #: Seconds after which unanswered requests are sent again.  A sync takes
 #: about 10 ms, and 25 times that on a slow disk.
 _RESEND_SECONDS: Final = 0.3
+#: The same while no value is known to be in force, as after a restart of all
+#: instances: links are still being opened, and nothing is served until then.
+_RESTART_RESEND_SECONDS: Final = 0.1
 #: Seconds after which an operation without a quorum ends as `Unavailable`.
 OPERATION_TIMEOUT_SECONDS: Final = 2.5
 #: The same for an evacuation order.  After a second without an answer, its
 #: operator retries elsewhere; an attempt that is given up must not take effect
 #: after a later order of the operator.
 ORDER_TIMEOUT_SECONDS: Final = 0.9
-#: Seconds until a ballot settles a value that isn't known to be in force, or
-#: whose change of replicas is unfinished; meanwhile its proposer, or another
-#: instance, may do so.
-_SETTLE_SECONDS: Final = 0.5
-#: Longest random addition to that, so that instances which restart together
-#: don't compete.
-_SETTLE_JITTER_SECONDS: Final = 0.5
-#: The same while no value is known to be in force, as after a restart of all
-#: instances: nothing is served until one is.
-_RESTART_SETTLE_SECONDS: Final = 0.05
-_RESTART_JITTER_SECONDS: Final = 0.15
-#: Seconds after which unanswered requests are sent again meanwhile: links to
-#: instances that restart are still being opened.
-_RESTART_RESEND_SECONDS: Final = 0.1
 #: Bits of the random number of a start, so many that two starts never draw the
 #: same one.
 _START_BITS: Final = 48
@@ -119,9 +109,7 @@
         self._next_ballot_at: float = 0
         # Whether the last ballot was given up because of a higher one.
         self._was_refused = False
-        # The newest value if it isn't settled, and when to settle it.
-        self._unsettled_ballot = NO_BALLOT
-        self._settle_at: float = 0
+        self._settle_timer = SettleTimer(random_source)
 
     @property
     def replica(self) -> Replica:
@@ -222,7 +210,9 @@
         if self._ballot_run is None:
             effects.extend(self._start_ballot(now))
         elif now >= self._resend_at:
-            self._resend_at = now + self._resend_delay()
+            self._resend_at = now + _resend_seconds(
+                knows_value=self._knows_value
+            )
             effects.extend(self._ballot_run.pending_requests())
         return self._deliver(effects, now)
 
@@ -275,41 +265,21 @@
         number = max(self._highest_ballot.number, newest.ballot.number) + 1
         self._highest_ballot = Ballot(number, self._own, self._start)
         self._ballot_run = BallotRun(self._highest_ballot, newest, change)
-        self._resend_at = now + self._resend_delay()
+        self._resend_at = now + _resend_seconds(knows_value=self._knows_value)
         return self._ballot_run.pending_requests()
 
     def _settle(self, now: float) -> None:
-        """Start a ballot unless the newest value here is settled.
-
-        A value that has only been accepted may or may not be in force.  After
-        a restart of all instances no other one can report it, and its proposer
-        may be lost before it reports the outcome.
-
-        A value in force whose change of replicas is unfinished needs a further
-        ballot.  The instance that joins starts one at once, but may be lost or
-        get no quorum.  Until then the replaced replica keeps its vote, though
-        its disk may be lost.
-        """
-        newest = self._newest_value
-        if newest.in_force and not newest.value.incoming:
-            self._unsettled_ballot = NO_BALLOT
-        elif newest.ballot != self._unsettled_ballot:
-            self._unsettled_ballot = newest.ballot
-            self._settle_at = now + self._settle_delay()
-        elif now >= self._settle_at and not self._operations:
+        """Start a ballot if the newest value here has to be settled."""
+        is_due = self._settle_timer.is_due(
+            self._newest_value, knows_value=self._knows_value, now=now
+        )
+        if is_due and not self._operations:
             self._add_settling(now)
 
-    def _resend_delay(self) -> float:
-        """Return the seconds after which requests are sent again."""
-        is_known = bool(self._in_force.value.replicas)
-        return _RESEND_SECONDS if is_known else _RESTART_RESEND_SECONDS
-
-    def _settle_delay(self) -> float:
-        """Return the seconds until a ballot settles the newest value."""
-        jitter = self._random_source.random()
-        if self._in_force.value.replicas:
-            return _SETTLE_SECONDS + _SETTLE_JITTER_SECONDS * jitter
-        return _RESTART_SETTLE_SECONDS + _RESTART_JITTER_SECONDS * jitter
+    @property
+    def _knows_value(self) -> bool:
+        """Whether any value is known to be in force."""
+        return bool(self._in_force.value.replicas)
 
     def _add_settling(self, now: float) -> None:
         deadline = now + OPERATION_TIMEOUT_SECONDS
@@ -452,3 +422,8 @@
         self._next_ballot_at = 0
         self._highest_ballot = max(self._highest_ballot, known.ballot)
         return (NewInForce(known.value, self.chosen),)
+
+
+def _resend_seconds(*, knows_value: bool) -> float:
+    """Return the seconds after which requests are sent again."""
+    return _RESEND_SECONDS if knows_value else _RESTART_RESEND_SECONDS
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -14,7 +14,6 @@
     EndpointLeft,
     EndpointReports,
     EntryBeat,
-    EntryInfo,
     LeaderBeat,
     SpeedRecords,
     SpeedUpdate,
@@ -27,6 +26,7 @@
 from cuminstack.roles._active_dispatcher import ActiveDispatcher
 from cuminstack.roles._carrier import Carrier
 from cuminstack.roles._clock import TICK_SECONDS, steady_now
+from cuminstack.roles._entry_contacts import EntryContacts
 from cuminstack.roles._evacuations import ObeyedEvacuations
 from cuminstack.roles._ports import EndpointClient
 from cuminstack.roles._work import WorkLog
@@ -42,16 +42,12 @@
 #: of every endpoint that the entry's jobs may use: two of their heartbeat
 #: intervals and a margin.
 _WARM_UP_SECONDS: Final = 4.0
-#: Seconds without a heartbeat after which contact with an entry is lost.
-_CONTACT_TIMEOUT_SECONDS: Final = 1.2
 #: Maximum number of entries that carry orders if hardly any control instance
 #: can: together they have about the processor time of the control instances.
 _MAX_ENTRY_CARRIERS: Final = 12
 #: Bits of a dispatcher's random session number, so many that two dispatchers
 #: never draw the same one.
 _SESSION_BITS: Final = 48
-#: Seconds without a heartbeat after which an entry is sent none any more.
-_ENTRY_TIMEOUT_SECONDS: Final = 10.0
 #: Decimal places of ages in seconds in the log.
 _AGE_DIGITS: Final = 1
 
@@ -96,9 +92,7 @@
             work=self._work,
         )
         self._dispatcher: ActiveDispatcher | None = None
-        self._last_heartbeats: dict[InstanceId, float] = {}
-        self._contact_since: dict[InstanceId, float] = {}
-        self._entry_infos: dict[InstanceId, EntryInfo] = {}
+        self._contacts = EntryContacts()
         self._zones: frozenset[ZoneName] = frozenset()
         self._evacuations = ObeyedEvacuations()
         self._departures = 0
@@ -151,9 +145,9 @@
         return self._departures
 
     @property
-    def entries(self) -> tuple[InstanceId, ...]:
-        """Entries to which heartbeats are sent."""
-        return tuple(self._last_heartbeats)
+    def contacts(self) -> EntryContacts:
+        """Entries that this instance hears."""
+        return self._contacts
 
     @property
     def reports(self) -> tuple[EndpointReport, ...]:
@@ -190,39 +184,10 @@
         self._evacuations.learn(in_force, unsettled)
         self._obey_evacuations(now)
 
-    def connected_entries(self, *, now: float) -> tuple[InstanceId, ...]:
-        """Return the entries that sent a heartbeat recently."""
-        return tuple(
-            entry
-            for entry, received_at in self._last_heartbeats.items()
-            if now - received_at < _CONTACT_TIMEOUT_SECONDS
-        )
-
-    def entry_infos(self, *, now: float) -> dict[InstanceId, EntryInfo]:
-        """Return what the connected entries said of themselves."""
-        return {
-            entry: self._entry_infos[entry]
-            for entry in self.connected_entries(now=now)
-        }
-
-    def zone_of(self, entry: InstanceId) -> ZoneName:
-        """Return the availability zone of a known entry."""
-        return self._entry_infos[entry].zone
-
     def cover(self, zones: Iterable[ZoneName]) -> None:
         """Dispatch only for endpoints in some zones; all if there are none."""
         self._zones = frozenset(zones)
 
-    def contact_seconds(self, entry: InstanceId, *, now: float) -> float:
-        """Return the seconds for which an entry has been in contact.
-
-        After a network partition, jobs of an entry may arrive before its
-        first heartbeat; until that, the result is 0.
-        """
-        if now - self._last_heartbeats.get(entry, 0) > _CONTACT_TIMEOUT_SECONDS:
-            return 0
-        return now - self._contact_since.get(entry, now)
-
     def weight(self, *, now: float) -> int:
         """Return the number of live control instances and of followers."""
         entries = 0
@@ -300,13 +265,10 @@
             beat: The heartbeat.
             only: Entries to send it to; None for all.
         """
-        for entry, received_at in tuple(self._last_heartbeats.items()):
-            if beat.stamp - received_at > _ENTRY_TIMEOUT_SECONDS:
-                self._last_heartbeats.pop(entry)
-                self._entry_infos.pop(entry, None)
-                self._mesh.leave(entry)
+        for entry in self._contacts.remove_lost(now=beat.stamp):
+            self._mesh.leave(entry)
         self._mesh.send_all(
-            self._last_heartbeats if only is None else only, beat
+            self._contacts.known if only is None else only, beat
         )
 
     def drop_stale_reports(self, *, now: float) -> None:
@@ -402,7 +364,7 @@
         return not self._zones or report.zone in self._zones
 
     def _entry_carriers(self, now: float) -> tuple[InstanceId, ...]:
-        entries = set(self.connected_entries(now=now)) - {self._own}
+        entries = set(self._contacts.connected(now=now)) - {self._own}
         return choose_evenly_spaced(entries, most=_MAX_ENTRY_CARRIERS)
 
     def _on_term_event(self, event: Fenced | TokensLow) -> None:
@@ -440,7 +402,7 @@
     ) -> None:
         # Tasks may run at endpoints that this instance doesn't cover.
         is_warm = not self._zones and (
-            self.contact_seconds(entry, now=now) > _WARM_UP_SECONDS
+            self._contacts.seconds(entry, now=now) > _WARM_UP_SECONDS
         )
         dispatcher.submit(entry, submit, is_warm=is_warm, now=now)
 
@@ -450,16 +412,9 @@
         beat: EntryBeat,
         now: float,
     ) -> None:
-        if sender not in self._last_heartbeats:
+        if self._contacts.record(sender, beat, now=now):
             log_event('entry.met', LogLevel.info, entry=sender)
             self._mesh.add_peers((sender,))
-        if (
-            now - self._last_heartbeats.get(sender, 0)
-            > _CONTACT_TIMEOUT_SECONDS
-        ):
-            self._contact_since[sender] = now
-        self._last_heartbeats[sender] = now
-        self._entry_infos[sender] = EntryInfo(beat.zone, beat.capacity)
         self._election.record_leader_report(
             sender,
             beat.leader,
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -246,7 +246,7 @@
 
     def _update_plan(self, now: float) -> None:
         self._plan = plan_deputies(
-            self._candidate.entry_infos(now=now),
+            self._candidate.contacts.infos(now=now),
             endpoints=Counter(
                 report.zone for report in self._candidate.reports
             ),
@@ -334,8 +334,8 @@
         receivers: defaultdict[DeputyShard, list[InstanceId]] = defaultdict(
             list
         )
-        for entry in self._candidate.entries if only is None else only:
-            shard = self._plan.shard_of(self._candidate.zone_of(entry))
+        for entry in self._candidate.contacts.known if only is None else only:
+            shard = self._plan.shard_of(self._candidate.contacts.zone_of(entry))
             receivers[shard].append(entry)
         beat = LeaderBeat(
             term=self._candidate.term,
@@ -399,4 +399,4 @@
         self._learn_evacuations(steady_now())
         self._mesh.send_all(self._controls, chosen)
         if self._candidate.leads:
-            self._mesh.send_all(self._candidate.entries, chosen)
+            self._mesh.send_all(self._candidate.contacts.known, chosen)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -222,9 +222,9 @@
         for second in range(100, 111):
             beat = EntryBeat(second, 1, own)
             candidate.receive(entry, beat, now=second)
-        assert round(candidate.contact_seconds(entry, now=110.5)) == 10
+        assert round(candidate.contacts.seconds(entry, now=110.5)) == 10
         # No heartbeat has arrived for five seconds.
-        assert not candidate.contact_seconds(entry, now=115)
+        assert not candidate.contacts.seconds(entry, now=115)
 
 
 @pytest.mark.asyncio
