--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -20,8 +20,6 @@
 #: Share of the capacity that tasks of unequal size can use at once: three
 #: tasks of 6.8 cores fit into 24 cores, and two into 16.
 _USABLE_SHARE: Final = 0.85
-#: Average share of a running task that is still to be done.
-_REMAINING_SHARE: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,15 +37,16 @@
     def estimate_wait(self, job: Job, *, now: float) -> float:
         """Return the seconds until a job that arrives now can start.
 
-        The estimate is the waiting work ahead of the job, plus the rest of all
-        running work, divided by the usable capacity of the job's service.
+        The estimate is the waiting work ahead of the job, divided by the usable
+        capacity of its service.  Running tasks don't add to it: in a pool of
+        many endpoints some end at any time, and what they free goes to the
+        first waiting jobs at once.
         """
         waiting = self.queue.work_ahead(job, now=now)
         if not waiting:
             return 0
         capacity = self.capacity_index.capacity(job.terms.service, now=now)
-        running = self.queue.running_work(now=now) * _REMAINING_SHARE
-        return (waiting + running) / max(1, capacity * _USABLE_SHARE)
+        return waiting / max(1, capacity * _USABLE_SHARE)
 
 
 def find_refusal(job: Job, load: Load, *, now: float) -> JobRefused | None:
