--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from contextlib import suppress
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Final, NoReturn
 
@@ -32,12 +33,14 @@
 )
 from cuminstack.platform._operators import ControlApi
 from cuminstack.platform._settings import (
+    DEFAULT_POLICY,
     SETTINGS_VARIABLE,
     BadSettings,
     PlatformSettings,
     load_settings,
 )
 from cuminstack.platform._worker_client import WorkerClient
+from cuminstack.pool import policy_names
 from cuminstack.roles import ControlRole, EntryRole, steady_now
 from cuminstack.settings import Address, LogLevel
 
@@ -277,6 +280,7 @@
     header_seconds: float = ConnectionOptions.header_seconds,
     body_seconds: float = ConnectionOptions.body_seconds,
     memory_share: float = ConnectionOptions.memory_share,
+    scheduling: str = DEFAULT_POLICY,
 ) -> None:
     """Run an instance until it receives SIGTERM.
 
@@ -291,7 +295,10 @@
         body_seconds: Longest time without progress of a body or a response,
             in seconds, if the desired state allows no longer one.
         memory_share: Part of the machine's memory for requests.
+        scheduling: Name of the scheduling policy.
     """
+    if scheduling not in policy_names():
+        _exit_with_error(f'unknown scheduling policy: {scheduling}')
     if role not in _ROLES:
         _exit_with_error(f'the role must be entry or control, not: {role}')
     try:
@@ -304,6 +311,8 @@
         )
     except (BadSettings, BadOption) as error:
         _exit_with_error(str(error))
+    role_settings = replace(settings.role, order=scheduling)
+    settings = replace(settings, role=role_settings)
     if not check:
         gc.set_threshold(_GARBAGE_THRESHOLD)
         asyncio.run(_run_role(role, settings, metrics_port, options))
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -15,8 +15,8 @@
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE: Final = 'CUMINSTACK_SETTINGS'
-#: Name of the order in which queued jobs are started.
-_SCHEDULING_ORDER: Final = 'useful-first'
+#: Name of the scheduling policy unless an option selects another one.
+DEFAULT_POLICY: Final = 'in-time-first'
 
 
 class BadSettings(Exception):
@@ -147,7 +147,7 @@
         first_start=decoded.bootstrap,
         tolerated_failures=decoded.fault_tolerance.machines,
         data_folder=Path(decoded.data_dir) if decoded.data_dir else None,
-        order=_SCHEDULING_ORDER,
+        order=DEFAULT_POLICY,
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         zones=_zone_names(decoded.zones),
     )
--- a/src/cuminstack/pool/__init__.py
+++ b/src/cuminstack/pool/__init__.py
@@ -33,6 +33,11 @@
     order_names,
     register_order,
 )
+from cuminstack.pool._policies import (
+    SchedulingPolicy,
+    find_policy,
+    policy_names,
+)
 from cuminstack.pool._records import (
     EndpointReport,
     JobRequest,
@@ -86,7 +91,10 @@
     'Submission',
     'TaskKey',
     'TokensLow',
+    'SchedulingPolicy',
     'find_order',
+    'find_policy',
+    'policy_names',
     'latest_useful_start',
     'order_names',
     'register_order',
--- a/src/cuminstack/pool/_admission.py
+++ b/src/cuminstack/pool/_admission.py
@@ -10,7 +10,7 @@
 from cuminstack.pool._queue import JobQueue
 from cuminstack.pool._records import Step
 from cuminstack.pool._rooms import CapacityIndex
-from cuminstack.pool._usefulness import can_be_useful
+from cuminstack.pool._usefulness import can_be_useful, meets_deadline
 
 #: Retry delay if no endpoint serves the job; endpoints send a heartbeat
 #: every 1.5 s.
@@ -20,6 +20,8 @@
 #: Share of the capacity that tasks of unequal size can use at once: three
 #: tasks of 6.8 cores fit into 24 cores, and two into 16.
 _USABLE_SHARE: Final = 0.85
+#: Average share of a running task that is still to be done.
+_REMAINING_SHARE: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,33 +31,42 @@
     Args:
         capacity_index: Endpoints and their capacity, by service.
         queue: Jobs that were admitted earlier.
+        counts_running: Whether the rest of all running work counts as work
+            ahead.  A job then seems to wait longer than it does in a pool of
+            many endpoints, where some run ends at any time.
     """
 
     capacity_index: CapacityIndex
     queue: JobQueue
+    counts_running: bool = False
 
     def estimate_wait(self, job: Job, *, now: float) -> float:
         """Return the seconds until a job that arrives now can start.
 
-        The estimate is the waiting work ahead of the job, divided by the usable
-        capacity of its service.  Running tasks don't add to it: in a pool of
-        many endpoints some end at any time, and what they free goes to the
-        first waiting jobs at once.
+        The estimate is the work ahead of the job, divided by the usable
+        capacity of its service.
         """
         waiting = self.queue.work_ahead(job, now=now)
         if not waiting:
             return 0
         capacity = self.capacity_index.capacity(job.terms.service, now=now)
+        if self.counts_running:
+            running = self.queue.running_work(now=now)
+            waiting += running * _REMAINING_SHARE
         return waiting / max(1, capacity * _USABLE_SHARE)
 
 
-def find_refusal(job: Job, load: Load, *, now: float) -> JobRefused | None:
+def find_refusal(
+    job: Job, load: Load, *, now: float, sheds_useless: bool = True
+) -> JobRefused | None:
     """Return the refusal of a newly arrived job, or None to admit it.
 
     Args:
         job: A job that has just arrived.
         load: Load ahead of the job.
         now: Current time in seconds.
+        sheds_useless: Whether the job must be useful, instead of only end by
+            its deadline.
 
     Returns:
         A refusal if no endpoint serves the job, if no endpoint is large
@@ -68,7 +79,12 @@
     if not all(_fits_anywhere(step, members) for step in job.steps):
         return _refuse(job, RefusalReason.no_room, _NO_ROOM_RETRY_SECONDS)
     wait = load.estimate_wait(job, now=now)
-    if can_be_useful(job, now + wait):
+    is_served = (
+        can_be_useful(job, now + wait)
+        if sheds_useless
+        else meets_deadline(job, now + wait)
+    )
+    if is_served:
         return None
     return _refuse(job, RefusalReason.overload, wait)
 
--- a/src/cuminstack/pool/_dispatcher.py
+++ b/src/cuminstack/pool/_dispatcher.py
@@ -21,6 +21,7 @@
 from cuminstack.pool._exchange import EndpointView, Hold, Refusal, StartRun
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Submission
+from cuminstack.pool._lookahead import MAX_RESERVATIONS
 from cuminstack.pool._notes import (
     dropped_event,
     pace_event,
@@ -64,6 +65,9 @@
             dispatchers.
         instance: Number of this instance, unique in the deployment.
         order: Queue order of the waiting jobs.
+        sheds_useless: Whether jobs are refused or ended once they can't be
+            useful, instead of at their deadlines.
+        max_reservations: Number of endpoints that may be reserved at a time.
     """
 
     def __init__(
@@ -72,6 +76,8 @@
         term: int,
         instance: int,
         order: QueueOrder,
+        sheds_useless: bool = True,
+        max_reservations: int = MAX_RESERVATIONS,
     ) -> None:
         self._watch = EndpointWatch(term=term, instance=instance)
         self._endpoints: dict[EndpointId, Endpoint] = {}
@@ -94,9 +100,12 @@
             self._capacity_index,
             queue,
             slowness=self._speeds.slowness,
+            max_reservations=max_reservations,
         )
         self._admission = AdmissionControl(
-            self._jobs, Load(self._capacity_index, queue)
+            self._jobs,
+            Load(self._capacity_index, queue, counts_running=not sheds_useless),
+            sheds_useless=sheds_useless,
         )
 
     @property
--- a/src/cuminstack/pool/_orders.py
+++ b/src/cuminstack/pool/_orders.py
@@ -86,6 +86,24 @@
     return Rank((job.waiting_work, job.submission.arrived_at))
 
 
+@register_order('in-time-first')
+def in_time_first(job: Job, now: float) -> Rank:
+    """Rank jobs that can be in time first, by priority and waiting work.
+
+    A job that misses its objective waits behind those that can meet theirs,
+    and a job that can no longer be useful waits behind both.
+    """
+    finish = job.finish_time(now)
+    ahead = [end for end in (job.objective, job.useful_until) if finish <= end]
+    priority = min(job.terms.priority, _MAX_PRIORITY)
+    weighted = job.waiting_work * _PRIORITY_FACTOR**priority
+    key = (_BANDS - len(ahead), weighted, job.submission.arrived_at)
+    if not ahead:
+        return Rank(key)
+    remaining = min(ahead) - finish
+    return Rank(key, valid_until=now + max(0, remaining - _ROUNDING_SECONDS))
+
+
 @register_order('useful-first')
 def useful_first(job: Job, now: float) -> Rank:
     """Rank jobs that can be in time first, by priority and waiting work.
--- a/src/cuminstack/pool/_refuser.py
+++ b/src/cuminstack/pool/_refuser.py
@@ -12,7 +12,11 @@
 from cuminstack.pool._job_table import JobTable
 from cuminstack.pool._jobs import Job
 from cuminstack.pool._notes import refusal_event, useless_event
-from cuminstack.pool._usefulness import should_be_ended, should_be_refused
+from cuminstack.pool._usefulness import (
+    meets_deadline,
+    should_be_ended,
+    should_be_refused,
+)
 
 
 class AdmissionControl:
@@ -21,15 +25,20 @@
     Args:
         jobs: All known jobs.
         load: Load ahead of a job.
+        sheds_useless: Whether jobs are refused or ended once they can't be
+            useful, instead of at their deadlines.
     """
 
     def __init__(
         self,
         jobs: JobTable,
         load: Load,
+        *,
+        sheds_useless: bool = True,
     ) -> None:
         self._jobs = jobs
         self._load = load
+        self._sheds_useless = sheds_useless
 
     def check_admission(self, job: Job, *, now: float) -> Effects:
         """Refuse a job that arrives, or return no effects if it is admitted."""
@@ -64,16 +73,21 @@
         Without others, its end costs nobody anything, and the caller may
         still have a use for it.
         """
-        return should_be_ended(job, now=now) and self._load.queue.has_others(
-            job, now=now
-        )
+        if not (self._sheds_useless and should_be_ended(job, now=now)):
+            return False
+        return self._load.queue.has_others(job, now=now)
 
     def _refuse(self, job: Job, refusal: JobRefused, now: float) -> Effects:
         self._jobs.record_refusal(refusal.job, now=now)
         return (refusal, refusal_event(refusal, job, now=now))
 
     def _find_shedding(self, job: Job, now: float) -> JobRefused | None:
-        if should_be_refused(job, now=now):
+        is_late = (
+            should_be_refused(job, now=now)
+            if self._sheds_useless
+            else not (job.may_have_run or meets_deadline(job, now))
+        )
+        if is_late:
             return make_overload_refusal(job, self._load, now=now)
         return find_evacuation_refusal(job, self._load)
 
@@ -81,4 +95,8 @@
         load = self._load
         if self._jobs.was_refused(job.submission):
             return make_overload_refusal(job, load, now=now)
-        return None if job.may_have_run else find_refusal(job, load, now=now)
+        if job.may_have_run:
+            return None
+        return find_refusal(
+            job, load, now=now, sheds_useless=self._sheds_useless
+        )
--- a/src/cuminstack/pool/_usefulness.py
+++ b/src/cuminstack/pool/_usefulness.py
@@ -42,6 +42,11 @@
     return start + job.remaining_path <= end_of_usefulness(job)
 
 
+def meets_deadline(job: Job, start: float) -> bool:
+    """Return whether a job that starts at a time ends by its deadline."""
+    return job.finish_time(start) <= job.submission.deadline
+
+
 def should_be_refused(job: Job, *, now: float) -> bool:
     """Return whether a waiting job can't be useful any more and has not run.
 
--- a/src/cuminstack/roles/_active_dispatcher.py
+++ b/src/cuminstack/roles/_active_dispatcher.py
@@ -34,7 +34,7 @@
     StartRun,
     StopRun,
     TokensLow,
-    find_order,
+    find_policy,
 )
 from cuminstack.roles._batches import BatchSender
 from cuminstack.roles._clock import steady_now
@@ -58,7 +58,7 @@
     Args:
         term: Number of the term.
         own: This instance.
-        queue_order: Name of the order in which waiting jobs are scheduled.
+        queue_order: Name of the scheduling policy.
         session: Number that identifies this dispatcher's orders; unique.
         send: Sends a message to an instance.
         on_term_event: Called with what may require a later term.
@@ -85,10 +85,13 @@
         self._batch_sender = BatchSender(self._send_orders)
         self._publisher = SpeedPublisher(now=now)
         self._router = OrderRouter(own, session=session, now=now)
+        policy = find_policy(queue_order)
         dispatcher = Dispatcher(
             term=term,
             instance=zlib.crc32(own.encode()),
-            order=find_order(queue_order),
+            order=policy.order,
+            sheds_useless=policy.sheds_useless,
+            max_reservations=policy.max_reservations,
         )
         self._dispatcher = dispatcher
         self._service = DispatcherService(dispatcher)
--- a/src/cuminstack/roles/_candidate.py
+++ b/src/cuminstack/roles/_candidate.py
@@ -59,7 +59,7 @@
         own: This instance.
         zone: Its availability zone.
         election: Decides whether it dispatches.
-        queue_order: Name of the order in which waiting jobs are scheduled.
+        queue_order: Name of the scheduling policy.
         client: Client that sends orders to endpoints.
         mesh: Links to other instances.
         reports: Endpoint reports that were saved before a restart.
--- a/src/cuminstack/roles/_ports.py
+++ b/src/cuminstack/roles/_ports.py
@@ -40,7 +40,7 @@
         first_start: Whether the whole deployment starts for the first time.
         tolerated_failures: Number of replicas that may fail at the same time.
         data_folder: Folder of its persistent state; None without a disk.
-        order: Name of the order in which waiting jobs are scheduled.
+        order: Name of the scheduling policy.
         cores: Processor time that it may use, in cores.
         zones: Availability zones of the deployment, as far as configured.
     """
