Attack every listener of every program in the tests

Cause: the tests of hostile clients knew the HTTP listeners of the platform's two programs only. The peers' port of both, and the three ports of cuminstackd, were not asked, and no client spoke WebSocket.

--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass
-from itertools import count, repeat
+from itertools import chain, count, repeat
 from pathlib import Path
 from typing import Final
 
@@ -40,7 +40,11 @@
         submission: Start of a request that is in progress for long, complete
             with its body; empty if the listener has none.
         upload: Request line target that takes a body.
+        upload_method: Method of the request that takes a body.
         upload_bytes: Size of the largest body to send there.
+        dense_body: Complete body of as many values as fit; one of
+            `upload_bytes` without a meaning if empty.
+        status: Status of the response to an ordinary request.
     """
 
     address: Address
@@ -48,7 +52,10 @@
     host: str = 'h.example'
     submission: bytes = b''
     upload: str = ''
+    upload_method: str = 'POST'
     upload_bytes: int = _BODY_BYTES
+    dense_body: bytes = b''
+    status: int = 200
 
     @property
     def opening(self) -> bytes:
@@ -59,7 +66,8 @@
     def upload_opening(self) -> bytes:
         """Request line and `Host` field of a request with a body."""
         path = self.upload or self.path
-        return f'POST {path} HTTP/1.1\r\nHost: {self.host}\r\n'.encode()
+        line = f'{self.upload_method} {path} HTTP/1.1'
+        return f'{line}\r\nHost: {self.host}\r\n'.encode()
 
 
 def _fields() -> bytes:
@@ -125,6 +133,31 @@
     yield from repeat(b'1b58\r\n%s\r\n' % (b'a' * _FIELD_BYTES))
 
 
+def endless_trailers(target: Target) -> Payloads:
+    """Chunked body with trailer fields without end."""
+    yield target.upload_opening
+    yield b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n'
+    yield from repeat(b'a:\r\n' * _FIELD_BYTES)
+
+
+def upgraded(target: Target) -> Payloads:
+    """Bytes without end behind a request for another protocol."""
+    yield b'%sConnection: Upgrade\r\nUpgrade: x\r\n\r\n' % target.opening
+    yield from repeat(b'a' * _FIELD_BYTES)
+
+
+def dense_bodies(target: Target) -> Payloads:
+    """Complete requests, whose bodies take far more memory when parsed."""
+    body = target.dense_body or b'a' * target.upload_bytes
+    size = b'Content-Length: %d\r\n\r\n' % len(body)
+    return chain.from_iterable(repeat((target.upload_opening, size, body)))
+
+
+def unread_responses(target: Target) -> Payloads:
+    """Ordinary requests without end, whose responses are not read."""
+    return repeat(b'%s\r\n' % target.opening)
+
+
 @dataclass(frozen=True, slots=True)
 class Attack:
     """A kind of clients.
--- a/tests/processes/hostile_targets.py
+++ b/tests/processes/hostile_targets.py
@@ -1,17 +1,20 @@
-"""Real processes of the platform that hostile clients connect to."""
+"""Real processes that hostile clients connect to."""
 
 import asyncio
 import json
 import os
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from itertools import repeat
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final
 
 import aiohttp
+from bench._children import program
+from bench._plan import InstancePlan, write_settings
 from bench._polling import until
 from bench._ports import free_ports
 
@@ -21,12 +24,13 @@
 from cuminstack.links import Mesh
 from cuminstack.platform._settings import SETTINGS_VARIABLE
 from cuminstack.roles import steady_now
-from cuminstack.settings import Address
+from cuminstack.settings import Address, LimitSettings
 from processes.hostile_clients import (
     STATE_BODY_BYTES,
     ProcessFigures,
     Target,
 )
+from processes.hostile_peers import PEER_NAME, send_over_link
 
 TIMEOUT_SECONDS: Final = 15
 #: Limits of the machine in the settings of a process.
@@ -36,6 +40,12 @@
 #: All instances have the same peer port, so they differ in their address.
 _OWN_HOST: Final = '127.0.0.1'
 _PEER_HOSTS: Final = ('127.0.0.2', '127.0.0.3')
+#: Listeners whose ordinary request succeeds once the process is ready.
+_READY_NAMES: Final = ('ready', 'control', 'endpoints')
+#: Largest desired state that a control instance with this memory accepts.
+_MAX_STATE_BYTES: Final = MEMORY_MB * 16_384
+#: Largest body of a job that the desired state allows.
+_MAX_JOB_BYTES: Final = 262_144
 _KEY: Final = '5c0e7a21d94b36f8'
 _JOB: Final = b"""{
     "bestEffort": true, "spec": "s",
@@ -100,6 +110,9 @@
     async def request(self, name: str) -> int:
         """Send the ordinary request of a listener; return the status."""
         target = self.targets[name]
+        if name == 'peers':
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                return await send_over_link(target)
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         method, sent = ('GET', None)
         if name == 'control':
@@ -125,9 +138,18 @@
     return head.encode() + body
 
 
+def _fill_list(size: int, start: bytes, item: bytes, end: bytes) -> bytes:
+    """Return a JSON document of a size with as many items as fit."""
+    count = (size - len(start) - len(end)) // (len(item) + 1)
+    return b'%s%s%s' % (start, b','.join(repeat(item, count)), end)
+
+
 def _make_targets(role: str, ports: tuple[int, ...]) -> dict[str, Target]:
-    first, second, metrics = (Address(_OWN_HOST, port) for port in ports)
-    page = Target(metrics, '/metrics')
+    first, second, metrics, peers = (Address(_OWN_HOST, port) for port in ports)
+    others = {
+        'metrics': Target(metrics, '/metrics'),
+        'peers': Target(peers, '/', status=101),
+    }
     if role == 'control':
         control = Target(
             first,
@@ -135,26 +157,36 @@
             submission=_post('/api/Config.Replace', STATE),
             upload='/api/Config.Replace',
             upload_bytes=STATE_BODY_BYTES,
+            dense_body=_fill_list(
+                _MAX_STATE_BYTES,
+                b'{"version":8,"services":[],"routes":[',
+                b'{}',
+                b']}',
+            ),
         )
-        return {'control': control, 'metrics': page}
+        return {'control': control, **others}
     front = Target(
         first,
         '/q/',
         submission=_post(f'/q/{_KEY}', _JOB),
         upload=f'/q/{_KEY}',
+        dense_body=_fill_list(
+            _MAX_JOB_BYTES, b'{"spec":"s","steps":[', b'{}', b']}'
+        ),
     )
     ready = Target(second, '/api/readiness')
-    return {'front': front, 'ready': ready, 'metrics': page}
+    return {'front': front, 'ready': ready, **others}
 
 
 def _write_settings(
-    role: str, targets: dict[str, Target], peer_port: int, folder: Path
+    role: str, targets: dict[str, Target], folder: Path
 ) -> Path:
     listeners = ''.join(
         f'{name} = "{target.address}"\n'
         for name, target in targets.items()
-        if name != 'metrics'
+        if name not in {'metrics', 'peers'}
     )
+    peer_port = targets['peers'].address.port
     # Two of three replicas never run, so a desired state that is submitted
     # to the control instance stays in progress for some seconds.
     hosts: tuple[str, ...] = _PEER_HOSTS[:1]
@@ -176,32 +208,98 @@
 
 @asynccontextmanager
 async def run_program(role: str, folder: Path) -> AsyncIterator[RunningProgram]:
-    """Run an entry or a control instance, and end it on exit."""
-    *ports, peer_port = free_ports(4)
-    targets = _make_targets(role, tuple(ports))
-    path = _write_settings(role, targets, peer_port, folder)
+    """Run a program, and end it on exit.
+
+    Args:
+        role: `entry` or `control`, roles of the platform's program, or
+            `daemon` for `cuminstackd`.
+        folder: Folder for its settings, log and data.
+    """
+    if role == 'daemon':
+        async with _run_daemon(folder) as running:
+            yield running
+        return
+    targets = _make_targets(role, free_ports(4))
+    path = _write_settings(role, targets, folder)
+    peer_port = targets['peers'].address.port
     dispatcher = _Dispatcher(InstanceId(f'{_PEER_HOSTS[0]}:{peer_port}'))
     if role == 'entry':
         await dispatcher.mesh.start()
+    instance = Path(__file__).parents[2] / 'deploy' / 'instance.py'
+    metrics_port = targets['metrics'].address.port
+    command = (
+        sys.executable,
+        str(instance),
+        role,
+        f'--metrics-port={metrics_port}',
+    )
     try:
-        async with _run_process(role, targets, path) as running:
+        async with _run_process(command, targets, path) as running:
             yield running
     finally:
         await dispatcher.mesh.stop()
 
 
+@asynccontextmanager
+async def _run_daemon(folder: Path) -> AsyncIterator[RunningProgram]:
+    limits = LimitSettings()
+    callers, endpoints, peers = (
+        Address(_OWN_HOST, port) for port in free_ports(3)
+    )
+    plan = InstancePlan(
+        'telavi-1',
+        'telavi',
+        callers=str(callers),
+        endpoints=str(endpoints),
+        peers=str(peers),
+        replica=True,
+    )
+    # This instance never runs; hostile clients identify themselves as it.
+    peer = InstancePlan(
+        PEER_NAME,
+        'telavi',
+        callers='',
+        endpoints='127.0.0.4:8',
+        peers='127.0.0.4:9',
+        replica=False,
+    )
+    path = write_settings(plan, (plan, peer), folder=folder, extra={})
+    targets = {
+        'callers': Target(
+            callers,
+            f'/v1/members/m/jobs/{_KEY}',
+            upload='/v1/members/m/services/s/jobs',
+            upload_bytes=STATE_BODY_BYTES,
+            dense_body=_fill_list(
+                limits.max_body_bytes,
+                b'{"tasks":[',
+                b'{"payload":0}',
+                b']}',
+            ),
+            status=404,
+        ),
+        'endpoints': Target(
+            endpoints,
+            '/v1/ready',
+            upload='/v1/sheet',
+            upload_method='PUT',
+            upload_bytes=STATE_BODY_BYTES,
+            dense_body=b'a\n' * (limits.max_sheet_bytes // 2),
+        ),
+        'peers': Target(peers, '/', status=101),
+    }
+    command = (program('cuminstackd'), '--settings', str(path))
+    async with _run_process(command, targets, path) as running:
+        yield running
+
+
 @asynccontextmanager
 async def _run_process(
-    role: str, targets: dict[str, Target], path: Path
+    command: Sequence[str], targets: dict[str, Target], path: Path
 ) -> AsyncIterator[RunningProgram]:
-    program = Path(__file__).parents[2] / 'deploy' / 'instance.py'
-    metrics_port = targets['metrics'].address.port
     with path.with_suffix('.log').open('wb') as log:
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(program),
-            role,
-            f'--metrics-port={metrics_port}',
+            *command,
             env={**os.environ, SETTINGS_VARIABLE: str(path)},
             stdout=log,
             stderr=log,
@@ -223,7 +321,7 @@
 
 
 async def _is_up(running: RunningProgram) -> bool:
-    name = 'ready' if 'ready' in running.targets else 'control'
+    name = next(name for name in _READY_NAMES if name in running.targets)
     try:
         return await running.request(name) == 200
     except aiohttp.ClientError:
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -16,6 +16,7 @@
 
 from processes import hostile_clients as clients
 from processes.hostile_clients import Attack, HostileClients, ProcessFigures
+from processes.hostile_peers import PEER_ATTACKS
 from processes.hostile_targets import (
     MAX_FDS,
     MEMORY_MB,
@@ -24,6 +25,9 @@
     run_program,
 )
 
+#: A role and a listener of it.
+_Place = tuple[str, str]
+
 #: Descriptors that a process may open by itself in the meantime; fewer than
 #: any attack has clients.
 _OWN_DESCRIPTORS: Final = 4
@@ -39,15 +43,36 @@
         'pipelined': Attack(clients.pipelined, 20),
         'unfinished bodies': Attack(clients.unfinished_bodies, 500),
         'endless bodies': Attack(clients.endless_bodies, 60),
+        'endless trailers': Attack(clients.endless_trailers, 60),
+        'upgraded': Attack(clients.upgraded, 60),
+        'dense bodies': Attack(clients.dense_bodies, 20),
+        'unread responses': Attack(clients.unread_responses, 60),
+        **PEER_ATTACKS,
     },
 )
-LISTENERS: Final = (
+LISTENERS: Final[tuple[_Place, ...]] = (
     ('entry', 'front'),
     ('entry', 'ready'),
     ('entry', 'metrics'),
+    ('entry', 'peers'),
     ('control', 'control'),
+    ('control', 'metrics'),
+    ('control', 'peers'),
+    ('daemon', 'callers'),
+    ('daemon', 'endpoints'),
+    ('daemon', 'peers'),
+)
+
+
+#: Each kind of clients at each listener that understands it.
+CASES: Final = tuple(
+    pytest.param(place, kind, id='-'.join((*place, kind)))
+    for place in LISTENERS
+    for kind in ATTACKS
+    if place[1] == 'peers' or kind not in PEER_ATTACKS
 )
 
+
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
 
@@ -59,7 +84,7 @@
     descriptors: int
 
 
-@pytest_asyncio.fixture(scope='module', loop_scope='module', params=LISTENERS)
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def victim(
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> AsyncIterator[_Victim]:
@@ -69,7 +94,7 @@
         yield _Victim(program, listener, program.figures.descriptors)
 
 
-@pytest.mark.parametrize('kind', ATTACKS)
+@pytest.mark.parametrize(('victim', 'kind'), CASES, indirect=['victim'])
 class TestHostileClients:
     """Clients of one kind connect to one listener, and leave."""
 
@@ -87,9 +112,12 @@
         await _wait_until_returned(figures, victim.descriptors)
         status = await program.request(listener)
         _check(program)
-        assert status == 200
+        assert status == program.targets[listener].status
 
 
+@pytest.mark.parametrize(
+    'victim', LISTENERS, indirect=True, ids=map('-'.join, LISTENERS)
+)
 @pytest.mark.parametrize('kind', ['slow headers', 'idle'])
 class TestCrowdedListener:
     """More clients than may connect crowd one listener."""
@@ -102,8 +130,8 @@
         target = program.targets[victim.listener]
         with HostileClients(ATTACKS[kind], target) as hostile:
             await asyncio.to_thread(hostile.run, program.figures)
-            for listener in program.targets:
-                assert await program.request(listener) == 200
+            for listener, each in program.targets.items():
+                assert await program.request(listener) == each.status
         await _wait_until_returned(program.figures, victim.descriptors)
 
 
