Move the limits on connections to a package of their own

Cause: the limits were written inside the platform's adapter, so that neither the links between instances nor cuminstackd could use them.

Change: cuminstack.listeners, below cuminstack.links. Only names of modules change.

--- a/src/cuminstack/platform/_connections.py
+++ b/src/cuminstack/listeners/_connections.py
@@ -11,7 +11,7 @@
 from types import MappingProxyType
 from typing import Final, Generic, TypeVar
 
-from cuminstack.platform._connection_limits import ListenerLimits
+from cuminstack.listeners._limits import ListenerLimits
 
 _Key = TypeVar('_Key', bound=Hashable)
 
--- a/src/cuminstack/platform/_server.py
+++ b/src/cuminstack/listeners/_http.py
@@ -12,14 +12,14 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from cuminstack.logs import log_event
-from cuminstack.platform._connections import Cause, body_cost, header_cost
-from cuminstack.platform._listener import Listener
-from cuminstack.platform._refusals import (
+from cuminstack.listeners._connections import Cause, body_cost, header_cost
+from cuminstack.listeners._listener import Listener
+from cuminstack.listeners._refusals import (
     forget_frames,
     refusal,
     without_keepalive,
 )
+from cuminstack.logs import log_event
 from cuminstack.settings import LogLevel
 
 _END_OF_HEADER: Final = b'\r\n\r\n'
--- a/src/cuminstack/platform/_listener.py
+++ b/src/cuminstack/listeners/_listener.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
-from cuminstack.logs import log_event
-from cuminstack.platform._connection_limits import (
+from cuminstack.listeners._connections import Cause, ConnectionTable
+from cuminstack.listeners._limits import (
     ListenerLimits,
     RequestLimits,
 )
-from cuminstack.platform._connections import Cause, ConnectionTable
+from cuminstack.logs import log_event
 from cuminstack.settings import LogLevel
 
 #: Request line and separators of a header section within the limit of the
--- a/src/cuminstack/platform/_listeners.py
+++ b/src/cuminstack/listeners/_listeners.py
@@ -9,15 +9,15 @@
 
 from aiohttp import web
 
-from cuminstack.platform._connection_limits import (
+from cuminstack.listeners._http import LimitedConnection
+from cuminstack.listeners._limits import (
     ConnectionOptions,
     MachineLimits,
     RequestLimits,
     derive_limits,
     excess_descriptors,
 )
-from cuminstack.platform._listener import Listener
-from cuminstack.platform._server import LimitedConnection
+from cuminstack.listeners._listener import Listener
 from cuminstack.settings import Address
 
 #: Interval of checks for clients that are waited for too long.
--- a/src/cuminstack/platform/_refusals.py
+++ b/src/cuminstack/listeners/_refusals.py
@@ -6,7 +6,7 @@
 
 from aiohttp.http import RawRequestMessage
 
-from cuminstack.platform._connections import Cause
+from cuminstack.listeners._connections import Cause
 
 _RETRY_AFTER: Final = 'Retry-After: 1'
 _REFUSALS: Final = MappingProxyType(
--- a/src/cuminstack/platform/_desired_state.py
+++ b/src/cuminstack/platform/_desired_state.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cuminstack.platform._connection_limits import RequestLimits
+from cuminstack.listeners import RequestLimits
 from cuminstack.platform._numbers import Milliseconds, Serial, Timestamp
 from cuminstack.pool import QueueTerms
 
--- a/src/cuminstack/platform/_front.py
+++ b/src/cuminstack/platform/_front.py
@@ -16,9 +16,9 @@
     MayHaveRun,
     NotRun,
 )
+from cuminstack.listeners import RequestLimits
 from cuminstack.logs import log_event
 from cuminstack.metrics import Exposition
-from cuminstack.platform._connection_limits import RequestLimits
 from cuminstack.platform._desired_state import (
     NO_STATE,
     InvalidState,
--- a/src/cuminstack/platform/_metrics.py
+++ b/src/cuminstack/platform/_metrics.py
@@ -6,9 +6,9 @@
 
 from cuminstack.core import InstanceId
 from cuminstack.fleet import Answer, Completed, MayHaveRun, NotRun
+from cuminstack.listeners import Listeners
 from cuminstack.logs import LogOutput
 from cuminstack.metrics import CONTENT_TYPE, Exposition
-from cuminstack.platform._listeners import Listeners
 from cuminstack.roles import ControlRole, EntryRole
 
 #: The same as in `deploy/system.toml`.
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -15,14 +15,14 @@
 from fire.decorators import SetParseFns
 
 from cuminstack.document import OPERATION_TIMEOUT_SECONDS
-from cuminstack.logs import log_event, log_to_standard_output
-from cuminstack.metrics import Exposition
-from cuminstack.platform._connection_limits import (
+from cuminstack.listeners import (
     BadOption,
     ConnectionOptions,
+    Listeners,
 )
+from cuminstack.logs import log_event, log_to_standard_output
+from cuminstack.metrics import Exposition
 from cuminstack.platform._front import EntryApi
-from cuminstack.platform._listeners import Listeners
 from cuminstack.platform._metrics import (
     MetricsPage,
     export_connection_metrics,
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cuminstack.core import InstanceId, ZoneName
-from cuminstack.platform._connection_limits import MachineLimits
+from cuminstack.listeners import MachineLimits
 from cuminstack.roles import RoleSettings
 from cuminstack.settings import Address, NotReadable
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from cuminstack.platform._connection_limits import (
+from cuminstack.listeners._connections import (
+    Cause,
+    ConnectionTable,
+    body_cost,
+    header_cost,
+)
+from cuminstack.listeners._limits import (
     BadOption,
     ConnectionOptions,
     ListenerLimits,
@@ -12,12 +18,6 @@
     derive_limits,
     excess_descriptors,
 )
-from cuminstack.platform._connections import (
-    Cause,
-    ConnectionTable,
-    body_cost,
-    header_cost,
-)
 
 LIMITS = ListenerLimits(
     connections=4,
--- a/tests/test_platform_server.py
+++ b/tests/test_http_connections.py
@@ -13,15 +13,15 @@
 from bench._polling import until
 from bench._ports import LOOPBACK, free_ports
 
-from cuminstack.platform import _listener
-from cuminstack.platform._connection_limits import (
+from cuminstack.listeners import _listener
+from cuminstack.listeners._connections import Cause
+from cuminstack.listeners._limits import (
     ConnectionOptions,
     MachineLimits,
     RequestLimits,
     derive_limits,
 )
-from cuminstack.platform._connections import Cause
-from cuminstack.platform._listeners import Listeners
+from cuminstack.listeners._listeners import Listeners
 from cuminstack.settings import Address
 
 TIMEOUT_SECONDS = 20
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,8 +11,8 @@
 
 from cuminstack.core import JobKey
 from cuminstack.fleet import Completed, Failure, MayHaveRun, NotRun
+from cuminstack.listeners._limits import RequestLimits
 from cuminstack.metrics import Exposition
-from cuminstack.platform._connection_limits import RequestLimits
 from cuminstack.platform._desired_state import (
     InvalidState,
     canonical_body,
