Bound the handshakes and connections of the peers' port

What was seen: 300 clients with header sections of 700 KB made an entry grow to 282 MiB and a control instance to 282 MiB, on machines of 160 MiB; 612 and 609 descriptors were open with 600 clients, of 400. Empty lines were taken without an end.

Cause: websockets bounds a line and the number of fields, but neither the total nor the connections, and reads on after a malformed handshake until its client leaves.

Change: the listener for peers is one of the listeners of the process, with a share of its memory and descriptors. A handshake has the size and time of a header section, and so has the first message. Links that are identified are closed for others last.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -18,6 +18,11 @@
 from cuminstack.daemon._sheets import SheetCoordinator
 from cuminstack.daemon._views import Views
 from cuminstack.links import Hello, PeerLink, PeerListener
+from cuminstack.listeners import (
+    ConnectionOptions,
+    Listeners,
+    MachineLimits,
+)
 from cuminstack.logs import LogOutput
 from cuminstack.settings import Address, Settings
 from cuminstack.store import DurableFile
@@ -44,6 +49,7 @@
         self._output = output
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
+        self._listeners = Listeners(MachineLimits(), ConnectionOptions())
         self._on_ready: list[Hook] = []
         self._on_drain: list[Hook] = []
 
@@ -65,6 +71,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         async with self._stack:
+            self._stack.callback(self._listeners.stop)
             driver = await self._open()
             _run_hooks(self._on_ready)
             await self._stopping.wait()
@@ -121,6 +128,7 @@
             frozenset(peer.name for peer in self._settings.other_peers),
             receive=driver.receive,
             reject=log_rejected,
+            listeners=self._listeners,
         )
         await listener.start(self._settings.listen.peers)
         self._stack.push_async_callback(listener.stop)
--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any, Final
+from functools import partial
+from typing import Any, Final, cast
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -20,8 +21,10 @@
 
 from cuminstack import wire
 from cuminstack.core import InstanceId
+from cuminstack.links._accepted import AcceptedLink
 from cuminstack.links._deflate import ClientDeflate, server_deflate
 from cuminstack.links._keepalive import keep_alive, reset
+from cuminstack.listeners import LINKS, Listeners, accept
 from cuminstack.settings import Address
 
 #: Largest number of frames queued for a link; the oldest are dropped.
@@ -192,6 +195,7 @@
         receive: Called with the sender and each message.
         reject: Called with the sender, if known, and the error when a link
             is closed because of an invalid frame or an unexpected peer.
+        listeners: Listeners of the process, which bound what clients use.
     """
 
     def __init__(
@@ -200,23 +204,38 @@
         *,
         receive: Receiver,
         reject: Rejecter,
+        listeners: Listeners,
     ) -> None:
         self._allowed = allowed
         self._receive = receive
         self._reject = reject
+        self._listeners = listeners
         self._server: Server | None = None
 
     async def start(self, address: Address) -> None:
-        """Listen at an address until `stop` is called."""
-        self._server = await serve(
-            self._serve,
-            address.host,
-            address.port,
-            compression=None,
-            extensions=(server_deflate(),),
-            close_timeout=_CLOSE_SECONDS,
-            ping_interval=None,
-            max_size=wire.MAX_FRAME_BYTES,
+        """Listen at an address until `stop` is called.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        listener = self._listeners.add('peers', LINKS)
+        self._server = await accept(
+            address,
+            partial(
+                serve,
+                self._serve,
+                compression=None,
+                extensions=(server_deflate(),),
+                # The link itself bounds the time until it is identified.
+                open_timeout=None,
+                close_timeout=_CLOSE_SECONDS,
+                ping_interval=None,
+                max_size=wire.MAX_FRAME_BYTES,
+                create_connection=cast(
+                    type[ServerConnection],
+                    partial(AcceptedLink, listener=listener),
+                ),
+            ),
         )
 
     async def stop(self) -> None:
@@ -229,6 +248,7 @@
         sender: InstanceId | None = None
         try:
             sender = self._identify(await connection.recv())
+            cast(AcceptedLink, connection).identify()
             async for frame in connection:
                 self._receive(sender, _decode(frame))
         except ConnectionClosed:
--- a/src/cuminstack/links/_mesh.py
+++ b/src/cuminstack/links/_mesh.py
@@ -13,6 +13,11 @@
     Receiver,
     Rejecter,
 )
+from cuminstack.listeners import (
+    ConnectionOptions,
+    Listeners,
+    MachineLimits,
+)
 from cuminstack.logs import log_event
 from cuminstack.settings import Address, LogLevel
 
@@ -42,6 +47,8 @@
         receive: Called with the sender and each message.
         reject: Called with the sender, if known, and the error when a link
             is closed because of an invalid frame or an unexpected peer.
+        listeners: Listeners of the process, which bound what clients use; by
+            default with the default limits.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         incarnation: int,
         receive: Receiver,
         reject: Rejecter,
+        listeners: Listeners | None = None,
     ) -> None:
         self._own = own
         self._hello = Hello(own, incarnation)
@@ -59,10 +67,16 @@
         self._receive = receive
         self._sent = 0
         self._received = 0
+        # Whoever passes listeners stops them.
+        self._default_listeners: Listeners | None = None
+        if listeners is None:
+            listeners = Listeners(MachineLimits(), ConnectionOptions())
+            self._default_listeners = listeners
         self._listener = PeerListener(
             None,
             receive=self._count_and_receive,
             reject=reject,
+            listeners=listeners,
         )
 
     @property
@@ -90,6 +104,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         await self._listener.stop()
+        if self._default_listeners is not None:
+            self._default_listeners.stop()
 
     def add_peers(self, peers: Iterable[InstanceId]) -> None:
         """Open links to instances and keep them open."""
--- a/src/cuminstack/listeners/__init__.py
+++ b/src/cuminstack/listeners/__init__.py
@@ -1,17 +1,35 @@
 """Listeners that bound what their clients can use."""
 
+from cuminstack.listeners._connections import Cause, body_cost
 from cuminstack.listeners._limits import (
+    CALLERS,
+    ENDPOINTS,
+    LINKS,
+    REQUESTS,
+    SIDE,
     BadOption,
     ConnectionOptions,
+    ListenerShare,
     MachineLimits,
     RequestLimits,
 )
+from cuminstack.listeners._listener import Listener, accept
 from cuminstack.listeners._listeners import Listeners
 
 __all__ = (
+    'CALLERS',
+    'ENDPOINTS',
+    'LINKS',
+    'REQUESTS',
+    'SIDE',
     'BadOption',
+    'Cause',
     'ConnectionOptions',
+    'Listener',
+    'ListenerShare',
     'Listeners',
     'MachineLimits',
     'RequestLimits',
+    'accept',
+    'body_cost',
 )
--- a/src/cuminstack/listeners/_connections.py
+++ b/src/cuminstack/listeners/_connections.py
@@ -35,6 +35,7 @@
     """Why a connection was closed or refused."""
 
     large_header = 'large_header'
+    malformed = 'malformed'
     slow_header = 'slow_header'
     slow_body = 'slow_body'
     slow_reader = 'slow_reader'
@@ -172,13 +173,18 @@
             The connection; None if there is none.
         """
         fresh_until = now - _FRESH_SECONDS
-        choices = chain(
+        idle = _first_quiet(self._idle, is_quiet, until=now)
+        unused = chain(
             self._refused,
             _first_quiet(self._fresh, is_quiet, until=fresh_until),
-            _first_quiet(self._idle, is_quiet, until=now),
+        )
+        arriving = chain(
             self._first_wait(until=now - _ARRIVAL_SECONDS),
             *self._latest(is_quiet, now),
         )
+        choices = chain(unused, idle, arriving)
+        if self._limits.keeps_idle:
+            choices = chain(unused, arriving, idle)
         return next(choices, None)
 
     def has_room(self) -> bool:
--- a/src/cuminstack/listeners/_limits.py
+++ b/src/cuminstack/listeners/_limits.py
@@ -11,13 +11,11 @@
 #: A balancer checks each second, on one connection for each of its nodes.
 _SIDE_CONNECTIONS: Final = 32
 _SIDE_LISTENERS: Final = 2
-#: Part of the memory of callers, or of endpoints and operators, that is kept
-#: for each of these listeners.
-_SIDE_MEMORY: Final = 0.125
 _MIN_CONNECTIONS: Final = 16
-#: Estimated memory of an idle connection, in bytes, and part of the memory
-#: for requests that connections may take in addition to it.
+#: Estimated memory of an idle HTTP connection and of an idle link, in bytes.
 _CONNECTION_BYTES: Final = 8192
+_LINK_BYTES: Final = 20_480
+#: Part of the memory for requests that connections may take in addition.
 _CONNECTION_SHARE: Final = 0.5
 #: A parsed JSON document takes up to 25 times its size, so the largest
 #: desired state takes two fifths of the memory for a moment.
@@ -127,6 +125,8 @@
             to its last.
         body_seconds: Longest time without a byte of a body that is
             incomplete, or in which the client takes nothing of a response.
+        keeps_idle: Whether idle connections are closed for others only after
+            all that have not identified themselves.
     """
 
     connections: int
@@ -134,29 +134,67 @@
     header_bytes: int
     header_seconds: float
     body_seconds: float
+    keeps_idle: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerShare:
+    """What a listener takes of what all clients of the process may use.
+
+    Args:
+        connections: Part of the connections; 0 for the fixed number that is
+            reserved for a listener of checks or metrics, which must not take
+            from the others or be crowded out.
+        memory: Memory for requests, as a multiple of the memory share.
+        connection_bytes: Estimated memory of an idle connection.
+        keeps_idle: Whether idle connections are closed for others only after
+            all that have not identified themselves.
+    """
+
+    connections: float
+    memory: float
+    connection_bytes: int = _CONNECTION_BYTES
+    keeps_idle: bool = False
+
+
+_HALF: Final = 1 / 2
+_QUARTER: Final = 1 / 4
+_THREE_QUARTERS: Final = 3 / 4
+_EIGHTH: Final = 1 / 8
+
+#: Callers, or endpoints and operators, if they have a process of their own.
+REQUESTS: Final = ListenerShare(connections=_THREE_QUARTERS, memory=1)
+#: Callers, and endpoints and operators, if they share a process.
+CALLERS: Final = ListenerShare(connections=_HALF, memory=_THREE_QUARTERS)
+ENDPOINTS: Final = ListenerShare(connections=_QUARTER, memory=_HALF)
+#: Other instances.
+LINKS: Final = ListenerShare(
+    connections=_QUARTER,
+    memory=_HALF,
+    connection_bytes=_LINK_BYTES,
+    keeps_idle=True,
+)
+#: Checks of the load balancer, or metrics.
+SIDE: Final = ListenerShare(connections=0, memory=_EIGHTH)
 
 
 def derive_limits(
-    machine: MachineLimits,
-    options: ConnectionOptions,
-    *,
-    is_side: bool,
+    machine: MachineLimits, options: ConnectionOptions, share: ListenerShare
 ) -> ListenerLimits:
     """Return the limits of a listener.
 
     Args:
         machine: Limits of the machine.
         options: Limits on clients.
-        is_side: Whether the listener serves checks of the load balancer or
-            metrics, which must not take from the others or be crowded out.
+        share: What the listener takes.
     """
-    memory = machine.memory_mb * _MEBIBYTE * options.memory_share
+    memory = machine.memory_mb * _MEBIBYTE * options.memory_share * share.memory
     connections = machine.descriptors - _FILE_DESCRIPTORS
     connections -= _SIDE_LISTENERS * _SIDE_CONNECTIONS
-    affordable = int(memory * _CONNECTION_SHARE) // _CONNECTION_BYTES
-    connections = max(_MIN_CONNECTIONS, min(connections, affordable))
-    if is_side:
-        memory *= _SIDE_MEMORY
+    affordable = int(memory * _CONNECTION_SHARE) // share.connection_bytes
+    connections = min(int(connections * share.connections), affordable)
+    connections = max(_MIN_CONNECTIONS, connections)
+    if not share.connections:
         connections = _SIDE_CONNECTIONS
     return ListenerLimits(
         connections=connections,
@@ -164,6 +202,7 @@
         header_bytes=options.header_bytes,
         header_seconds=options.header_seconds,
         body_seconds=options.body_seconds,
+        keeps_idle=share.keeps_idle,
     )
 
 
--- a/src/cuminstack/listeners/_listener.py
+++ b/src/cuminstack/listeners/_listener.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import select
-from collections.abc import Callable, Hashable
+import socket
+from collections.abc import Awaitable, Callable, Hashable
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final, Protocol, TypeVar
 
 from cuminstack.listeners._connections import Cause, ConnectionTable
 from cuminstack.listeners._limits import (
@@ -12,7 +13,7 @@
     RequestLimits,
 )
 from cuminstack.logs import log_event
-from cuminstack.settings import LogLevel
+from cuminstack.settings import Address, LogLevel
 
 #: Request line and separators of a header section within the limit of the
 #: desired state, which counts names and values only.
@@ -23,6 +24,14 @@
 _HEADER_CAUSES: Final = frozenset((Cause.slow_header, Cause.pipelined))
 #: Bytes that are read at once, into a buffer that all connections share.
 _READ_BYTES: Final = 65_536
+#: Connections that are accepted at once.  Those beyond the limit are open for
+#: one iteration of the loop, out of the descriptors for files.
+_ACCEPTED_AT_ONCE: Final = 32
+#: Connections that wait until they are accepted.  The system drops those
+#: beyond it, and an ordinary client tries again a second later.
+_BACKLOG: Final = 1024
+
+_Server = TypeVar('_Server')
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +147,33 @@
             connection.expire(cause)
 
 
+async def accept(
+    address: Address,
+    create_server: Callable[..., Awaitable[_Server]],
+) -> _Server:
+    """Accept connections at an address, few of them at once.
+
+    Args:
+        address: Address to listen on.
+        create_server: Creates the server; its arguments `sock` and `backlog`
+            are the socket and the number of connections accepted at once.
+
+    Returns:
+        The server.
+
+    Raises:
+        OSError: The address can't be listened on.
+    """
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    accepting = socket.create_server(
+        (address.host, address.port), family=family
+    )
+    server = await create_server(sock=accepting, backlog=_ACCEPTED_AT_ONCE)
+    # asyncio has set both numbers to the one of connections at once.
+    accepting.listen(_BACKLOG)
+    return server
+
+
 def _is_quiet(connection: Connection) -> bool:
     """Return whether nothing was received that isn't read yet."""
     descriptor = connection.descriptor
--- a/src/cuminstack/listeners/_listeners.py
+++ b/src/cuminstack/listeners/_listeners.py
@@ -2,22 +2,24 @@
 
 import asyncio
 import os
-import socket
 from collections.abc import Callable, Mapping
 from contextlib import suppress
+from functools import partial
 from typing import Final
 
 from aiohttp import web
 
 from cuminstack.listeners._http import LimitedConnection
 from cuminstack.listeners._limits import (
+    REQUESTS,
     ConnectionOptions,
+    ListenerShare,
     MachineLimits,
     RequestLimits,
     derive_limits,
     excess_descriptors,
 )
-from cuminstack.listeners._listener import Listener
+from cuminstack.listeners._listener import Listener, accept
 from cuminstack.settings import Address
 
 #: Interval of checks for clients that are waited for too long.
@@ -26,13 +28,6 @@
 #: for a thousand of them.
 _SWEEPS_PER_COUNT: Final = 4
 _DESCRIPTORS: Final = '/proc/self/fd'
-#: Connections that are accepted at once.  Those beyond the limit are open for
-#: one iteration of the loop, out of the descriptors for files.
-_ACCEPTED_AT_ONCE: Final = 32
-#: Connections that wait until they are accepted.  The system drops those
-#: beyond it, and an ordinary client tries again a second later.
-_BACKLOG: Final = 1024
-_SIDE_NAMES: Final = frozenset(('ready', 'metrics'))
 
 
 def _no_requirements() -> RequestLimits:
@@ -71,20 +66,17 @@
         server = self._runner.server
         assert server is not None
         listener = self._listener
-        host, port = self._address.host, self._address.port
-        family = socket.AF_INET6 if ':' in host else socket.AF_INET
-        accepting = socket.create_server((host, port), family=family)
-        self._server = await listener.loop.create_server(
-            lambda: LimitedConnection(server, listener),
-            sock=accepting,
-            backlog=_ACCEPTED_AT_ONCE,
+        self._server = await accept(
+            self._address,
+            partial(
+                listener.loop.create_server,
+                lambda: LimitedConnection(server, listener),
+            ),
         )
-        # asyncio has set both numbers to the one of connections at once.
-        accepting.listen(_BACKLOG)
 
 
 class Listeners:
-    """The HTTP listeners of a process.
+    """The listeners of a process.
 
     Args:
         machine: Limits of the machine.
@@ -97,6 +89,8 @@
         self._machine = machine
         self._options = options
         self._listeners: list[Listener] = []
+        # Those whose limits make way for what the process opens itself.
+        self._adjustable: list[Listener] = []
         self._sweeper: asyncio.Task[None] | None = None
         self._sweeps = 0
 
@@ -119,22 +113,46 @@
             for cause, count in each.table.counts.items()
         }
 
+    def add(
+        self,
+        name: str,
+        share: ListenerShare,
+        required: Callable[[], RequestLimits] = _no_requirements,
+    ) -> Listener:
+        """Return the state of a new listener, whose connections are checked.
+
+        Args:
+            name: Name of the listener in logs and metrics.
+            share: What it takes of what all clients may use.
+            required: Returns what the desired state allows requests.
+        """
+        limits = derive_limits(self._machine, self._options, share)
+        listener = Listener(name, limits, required)
+        self._listeners.append(listener)
+        if share.connections:
+            self._adjustable.append(listener)
+        if self._sweeper is None:
+            self._sweeper = asyncio.create_task(self._sweep_repeatedly())
+        return listener
+
     async def start(
         self,
         name: str,
         app: web.Application,
         address: Address,
         *,
+        share: ListenerShare = REQUESTS,
         cancel_on_disconnect: bool = False,
         shutdown_timeout_seconds: float,
         required: Callable[[], RequestLimits] = _no_requirements,
     ) -> web.AppRunner:
-        """Start a listener.
+        """Start an HTTP listener.
 
         Args:
             name: Name of the listener in logs and metrics.
             app: The application that it serves.
             address: Address that it listens on.
+            share: What it takes of what all clients may use.
             cancel_on_disconnect: Whether a handler is cancelled when its
                 client disconnects.
             shutdown_timeout_seconds: Longest wait for requests in progress
@@ -147,9 +165,6 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        is_side = name in _SIDE_NAMES
-        limits = derive_limits(self._machine, self._options, is_side=is_side)
-        listener = Listener(name, limits, required)
         runner = web.AppRunner(
             app,
             access_log=None,
@@ -157,10 +172,8 @@
             shutdown_timeout=shutdown_timeout_seconds,
         )
         await runner.setup()
+        listener = self.add(name, share, required)
         await LimitedSite(runner, listener, address).start()
-        self._listeners.append(listener)
-        if self._sweeper is None:
-            self._sweeper = asyncio.create_task(self._sweep_repeatedly())
         return runner
 
     def stop(self) -> None:
@@ -185,6 +198,7 @@
             excess = excess_descriptors(
                 used=used, connections=sum(self.connections.values())
             )
-            for listener in self._listeners:
-                if listener.name not in _SIDE_NAMES:
-                    listener.table.reserve_descriptors(excess)
+            for listener in self._adjustable:
+                listener.table.reserve_descriptors(
+                    excess // len(self._adjustable)
+                )
--- a/src/cuminstack/platform/_program.py
+++ b/src/cuminstack/platform/_program.py
@@ -16,6 +16,7 @@
 
 from cuminstack.document import OPERATION_TIMEOUT_SECONDS
 from cuminstack.listeners import (
+    SIDE,
     BadOption,
     ConnectionOptions,
     Listeners,
@@ -96,12 +97,17 @@
     client = WorkerClient()
     await client.open()
     api = EntryApi(exposition)
-    role = EntryRole(settings.role, client=client, on_new_value=api.apply)
+    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
+    role = EntryRole(
+        settings.role,
+        client=client,
+        on_new_value=api.apply,
+        listeners=listeners,
+    )
     api.attach(role)
     export_entry_metrics(exposition, settings.role.own, role)
     export_work_metrics(exposition, role)
     await role.start()
-    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
     runners = (
         await listeners.start(
             'front',
@@ -115,6 +121,7 @@
             'ready',
             api.make_readiness_app(),
             settings.readiness_address,
+            share=SIDE,
             shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
         ),
     )
@@ -190,11 +197,11 @@
         raise BadSettings('a control instance needs listenAddrs.control')
     client = WorkerClient()
     await client.open()
-    role = ControlRole(settings.role, client=client)
+    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
+    role = ControlRole(settings.role, client=client, listeners=listeners)
     export_control_metrics(exposition, settings.role.own, role)
     export_work_metrics(exposition, role)
     await role.start()
-    listeners = listeners or Listeners(settings.machine, ConnectionOptions())
     api = ControlApi(role, max_state_bytes=settings.machine.state_bytes)
     runner = await listeners.start(
         'control',
@@ -260,6 +267,7 @@
             'metrics',
             MetricsPage(exposition).make_app(),
             address,
+            share=SIDE,
             shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
         )
     except OSError as error:
--- a/src/cuminstack/roles/_control.py
+++ b/src/cuminstack/roles/_control.py
@@ -24,6 +24,7 @@
     plan_deputies,
 )
 from cuminstack.links import Mesh
+from cuminstack.listeners import Listeners
 from cuminstack.logs import log_event
 from cuminstack.pool import EndpointReport
 from cuminstack.roles._candidate import Candidate
@@ -64,6 +65,8 @@
     Args:
         settings: Configuration of the process.
         client: Client that sends orders to endpoints.
+        listeners: Listeners of the process, which bound what clients use; by
+            default with the default limits.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         settings: RoleSettings,
         *,
         client: EndpointClient,
+        listeners: Listeners | None = None,
     ) -> None:
         self._settings = settings
         self._term_store = TermStore(settings.data_folder)
@@ -95,6 +99,7 @@
             incarnation=time.time_ns(),
             receive=contain_errors(self._receive),
             reject=log_rejected,
+            listeners=listeners,
         )
         self._candidate = Candidate(
             settings.own,
--- a/src/cuminstack/roles/_entry.py
+++ b/src/cuminstack/roles/_entry.py
@@ -21,6 +21,7 @@
     endpoint_capacity,
 )
 from cuminstack.links import Mesh
+from cuminstack.listeners import Listeners
 from cuminstack.logs import log_event
 from cuminstack.pool import JobRequest, QueueTerms
 from cuminstack.roles._clock import (
@@ -49,6 +50,8 @@
         client: Client that sends orders to endpoints, used while this entry
             dispatches.
         on_new_value: Called with each newer desired state.
+        listeners: Listeners of the process, which bound what clients use; by
+            default with the default limits.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         *,
         client: EndpointClient,
         on_new_value: ValueCallback,
+        listeners: Listeners | None = None,
     ) -> None:
         self._settings = settings
         self._on_new_value = on_new_value
@@ -77,6 +81,7 @@
             incarnation=time.time_ns(),
             receive=contain_errors(self._receive),
             reject=log_rejected,
+            listeners=listeners,
         )
         self._deputy = Deputy(settings, client=client, mesh=self._mesh)
 
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -94,7 +94,9 @@
         yield _Victim(program, listener, program.figures.descriptors)
 
 
-@pytest.mark.parametrize(('victim', 'kind'), CASES, indirect=['victim'])
+@pytest.mark.parametrize(
+    ('victim', 'kind'), CASES, indirect=['victim'], scope='module'
+)
 class TestHostileClients:
     """Clients of one kind connect to one listener, and leave."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,6 +11,11 @@
     header_cost,
 )
 from cuminstack.listeners._limits import (
+    CALLERS,
+    ENDPOINTS,
+    LINKS,
+    REQUESTS,
+    SIDE,
     BadOption,
     ConnectionOptions,
     ListenerLimits,
@@ -138,6 +143,22 @@
         assert excess_descriptors(used=700, connections=300) == 200
 
 
+class TestIdentified:
+    """Connections of clients that are in use while they are idle."""
+
+    # Guards against links between instances that are closed for a burst of
+    # clients that never identify themselves.
+    def test_unidentified_are_closed_first(self) -> None:
+        table = ConnectionTable[str](replace(LIMITS, keeps_idle=True))
+        table.open('link', now=0)
+        table.start_request('link')
+        table.end_request('link', now=0)
+        table.open('other', now=10)
+        assert table.find_surplus(is_quiet=is_quiet, now=10) == 'other'
+        table.close('other')
+        assert table.find_surplus(is_quiet=is_quiet, now=10) == 'link'
+
+
 class TestMemory:
     """Requests use more memory than the listener has."""
 
@@ -230,23 +251,36 @@
     def test_connections(self) -> None:
         machine = MachineLimits(descriptors=1024)
         options = ConnectionOptions()
-        front = derive_limits(machine, options, is_side=False)
-        side = derive_limits(machine, options, is_side=True)
-        assert front.connections + 2 * side.connections == 1024 - 200
+        front = derive_limits(machine, options, REQUESTS)
+        side = derive_limits(machine, options, SIDE)
+        links = derive_limits(machine, options, LINKS)
+        used = front.connections + links.connections + 2 * side.connections
+        assert used == 1024 - 200
+
+    # Guards against a process of callers and endpoints that has more clients
+    # than descriptors.
+    def test_connections_of_daemon(self) -> None:
+        machine = MachineLimits(descriptors=1024)
+        options = ConnectionOptions()
+        used = sum(
+            derive_limits(machine, options, share).connections
+            for share in (CALLERS, ENDPOINTS, LINKS)
+        )
+        assert used <= 1024 - 200
 
     # Guards against idle connections that exceed the memory where descriptors
     # are many.
     def test_many_descriptors(self) -> None:
         machine = MachineLimits(memory_mb=160, descriptors=1_000_000)
-        front = derive_limits(machine, ConnectionOptions(), is_side=False)
+        front = derive_limits(machine, ConnectionOptions(), REQUESTS)
         assert front.connections == 2560
 
     # Guards against listeners that take more than the machine has.
     def test_memory(self) -> None:
         machine = MachineLimits(memory_mb=160)
         options = ConnectionOptions(memory_share=0.25)
-        front = derive_limits(machine, options, is_side=False)
-        side = derive_limits(machine, options, is_side=True)
+        front = derive_limits(machine, options, REQUESTS)
+        side = derive_limits(machine, options, SIDE)
         assert front.memory_bytes == 40 * 1_048_576
         assert side.memory_bytes == 5 * 1_048_576
         assert machine.state_bytes == 2.5 * 1_048_576
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -16,6 +16,7 @@
 from cuminstack.listeners import _listener
 from cuminstack.listeners._connections import Cause
 from cuminstack.listeners._limits import (
+    SIDE,
     ConnectionOptions,
     MachineLimits,
     RequestLimits,
@@ -167,7 +168,7 @@
 
 
 def make_listener() -> _listener.Listener:
-    limits = derive_limits(MachineLimits(), ConnectionOptions(), is_side=True)
+    limits = derive_limits(MachineLimits(), ConnectionOptions(), SIDE)
     return _listener.Listener('ready', limits, RequestLimits)
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -16,6 +16,11 @@
 from cuminstack.fleet import EntryBeat
 from cuminstack.links._keepalive import reset
 from cuminstack.links._links import Hello, PeerLink, PeerListener
+from cuminstack.listeners import (
+    ConnectionOptions,
+    Listeners,
+    MachineLimits,
+)
 from cuminstack.settings import Address
 
 OWN = InstanceId('a')
@@ -37,8 +42,12 @@
     @asynccontextmanager
     async def run(self) -> AsyncIterator[PeerLink]:
         address = Address(LOOPBACK, *free_ports(1))
+        listeners = Listeners(MachineLimits(), ConnectionOptions())
         listener = PeerListener(
-            None, receive=self._receive, reject=lambda *_: None
+            None,
+            receive=self._receive,
+            reject=lambda *_: None,
+            listeners=listeners,
         )
         await listener.start(address)
 
@@ -57,6 +66,7 @@
         yield link
         task.cancel()
         await listener.stop()
+        listeners.stop()
 
     async def wait_for(self, count: int) -> None:
         while len(self.received) < count:
