Bound the messages of the peers' port

Cause: messages of all links wait in queues, up to 8 MiB each, and compressed ones expand before they are counted. The parser keeps its last frame, so each link kept its last message: 51 MiB with ten clients by tracemalloc.

Change: a message is handled as soon as it is complete, within the memory of the listener; fragments are refused, compressed messages expand within the memory, and the last frame is emptied. A little is read at once, as 64 KiB of empty frames kept the others waiting for 0.1 s each.

--- a/src/cuminstack/links/_deflate.py
+++ b/src/cuminstack/links/_deflate.py
@@ -7,8 +7,9 @@
 
 from collections.abc import Sequence
 from types import MappingProxyType
-from typing import Final
+from typing import Final, Protocol
 
+from websockets.exceptions import PayloadTooBig
 from websockets.extensions import Extension
 from websockets.extensions.permessage_deflate import (
     ClientPerMessageDeflateFactory,
@@ -66,9 +67,73 @@
         )
 
 
-def server_deflate() -> ServerPerMessageDeflateFactory:
-    """Return the compression that an accepting instance agrees to."""
-    return ServerPerMessageDeflateFactory(
-        server_no_context_takeover=True,
-        client_max_window_bits=_WINDOW_BITS,
-    )
+class _MemoryBudget(Protocol):
+    """What messages may be expanded into."""
+
+    @property
+    def free_bytes(self) -> int:
+        """Size of the messages for which there is memory."""
+
+    def use_memory(self, size: int) -> None:
+        """Add the size of a message that is about to be handled."""
+
+
+class _BoundedDeflate(PerMessageDeflate):
+    """Per-message decompression within a budget of memory."""
+
+    def __init__(
+        self, agreed: PerMessageDeflate, budget: _MemoryBudget
+    ) -> None:
+        super().__init__(
+            agreed.remote_no_context_takeover,
+            agreed.local_no_context_takeover,
+            agreed.remote_max_window_bits,
+            agreed.local_max_window_bits,
+        )
+        self._budget = budget
+
+    def decode(self, frame: Frame, *, max_size: int | None = None) -> Frame:
+        """Decompress a frame, if there is memory for its content.
+
+        Raises:
+            PayloadTooBig: The content exceeds the budget or `max_size`.
+        """
+        free = self._budget.free_bytes
+        if max_size is not None:
+            free = min(free, max_size)
+        # zlib takes 0 for no limit.
+        if free <= 0:
+            raise PayloadTooBig(None, free)
+        decoded = super().decode(frame, max_size=free)
+        if decoded is not frame:
+            self._budget.use_memory(len(decoded.data))
+        return decoded
+
+
+class _BoundedDeflateFactory(ServerPerMessageDeflateFactory):
+    def __init__(self, budget: _MemoryBudget) -> None:
+        super().__init__(
+            server_no_context_takeover=True,
+            client_max_window_bits=_WINDOW_BITS,
+        )
+        self._budget = budget
+
+    def process_request_params(
+        self,
+        params: Sequence[ExtensionParameter],
+        accepted_extensions: Sequence[Extension],
+    ) -> tuple[list[ExtensionParameter], PerMessageDeflate]:
+        """Return the parameters of the response, and the compression."""
+        answer, agreed = super().process_request_params(
+            params, accepted_extensions
+        )
+        return answer, _BoundedDeflate(agreed, self._budget)
+
+
+def server_deflate(budget: _MemoryBudget) -> ServerPerMessageDeflateFactory:
+    """Return the compression that an accepting instance agrees to.
+
+    Args:
+        budget: Memory for what its messages expand into.
+    """
+    return _BoundedDeflateFactory(budget)
--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -17,14 +17,13 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
-from websockets.frames import CloseCode
 
 from cuminstack import wire
 from cuminstack.core import InstanceId
 from cuminstack.links._accepted import AcceptedLink
-from cuminstack.links._deflate import ClientDeflate, server_deflate
+from cuminstack.links._deflate import ClientDeflate
 from cuminstack.links._keepalive import keep_alive, reset
-from cuminstack.listeners import LINKS, Listeners, accept
+from cuminstack.listeners import LINKS, Listeners, accept, body_cost
 from cuminstack.settings import Address
 
 #: Largest number of frames queued for a link; the oldest are dropped.
@@ -225,15 +224,19 @@
                 serve,
                 self._serve,
                 compression=None,
-                extensions=(server_deflate(),),
                 # The link itself bounds the time until it is identified.
                 open_timeout=None,
                 close_timeout=_CLOSE_SECONDS,
                 ping_interval=None,
-                max_size=wire.MAX_FRAME_BYTES,
+                max_size=min(
+                    wire.MAX_FRAME_BYTES,
+                    listener.limits.memory_bytes // body_cost(1),
+                ),
                 create_connection=cast(
                     type[ServerConnection],
-                    partial(AcceptedLink, listener=listener),
+                    partial(
+                        AcceptedLink, listener=listener, handle=self._handle
+                    ),
                 ),
             ),
         )
@@ -245,28 +248,23 @@
             await self._server.wait_closed()
 
     async def _serve(self, connection: ServerConnection) -> None:
-        sender: InstanceId | None = None
+        # The link passes its messages to `_handle` itself.
+        await connection.wait_closed()
+
+    def _handle(self, link: AcceptedLink, frame: bytes) -> None:
         try:
-            sender = self._identify(await connection.recv())
-            cast(AcceptedLink, connection).identify()
-            async for frame in connection:
-                self._receive(sender, _decode(frame))
-        except ConnectionClosed:
-            return
+            if link.peer is None:
+                link.identify(self._identify(frame))
+            else:
+                self._receive(link.peer, wire.decode(frame))
         except (wire.BadFrame, UnexpectedPeer) as error:
-            self._reject(sender, error)
-            await connection.close(CloseCode.PROTOCOL_ERROR, str(error)[:100])
+            self._reject(link.peer, error)
+            link.refuse(str(error))
 
-    def _identify(self, frame: str | bytes) -> InstanceId:
-        hello = _decode(frame)
+    def _identify(self, frame: bytes) -> InstanceId:
+        hello = wire.decode(frame)
         if not isinstance(hello, Hello):
             raise UnexpectedPeer(repr(hello))
         if self._allowed is None or hello.instance in self._allowed:
             return hello.instance
         raise UnexpectedPeer(repr(hello))
-
-
-def _decode(frame: str | bytes) -> Any:
-    if isinstance(frame, str):
-        raise wire.MalformedFrame('text frame')
-    return wire.decode(frame)
--- a/src/cuminstack/listeners/__init__.py
+++ b/src/cuminstack/listeners/__init__.py
@@ -15,6 +15,7 @@
 )
 from cuminstack.listeners._listener import Listener, accept
 from cuminstack.listeners._listeners import Listeners
+from cuminstack.listeners._refusals import forget_frames
 
 __all__ = (
     'CALLERS',
@@ -32,4 +33,5 @@
     'RequestLimits',
     'accept',
     'body_cost',
+    'forget_frames',
 )
