Bound what clients of cuminstackd use

What was seen, each in a process of its own: callers' port 2,085 MiB with 500 unfinished bodies, 506 MiB with 60 endless ones, 609 descriptors of 400 with 600 idle clients, and unfinished header sections and empty lines that were never closed; endpoints' port the same, 2,242 and 275 MiB.

Cause: the two ports were plain listeners of aiohttp.

Change: they use the limits of the platform's programs. What the process may use is in the settings; by default it is the memory of the machine and what the system allows the process, which no client inside the limits of PROTOCOL.md meets. The settings of the tests set both, as the platform's do.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -7,8 +7,6 @@
 from functools import partial
 from typing import Any, Final
 
-from aiohttp import web
-
 from cuminstack.daemon._assembly import make_node
 from cuminstack.daemon._callers import CallerInterface
 from cuminstack.daemon._driver import Driver, log_rejected
@@ -19,12 +17,16 @@
 from cuminstack.daemon._views import Views
 from cuminstack.links import Hello, PeerLink, PeerListener
 from cuminstack.listeners import (
+    CALLERS,
+    ENDPOINTS,
     ConnectionOptions,
     Listeners,
     MachineLimits,
+    physical_memory_mb,
+    process_descriptors,
 )
 from cuminstack.logs import LogOutput
-from cuminstack.settings import Address, Settings
+from cuminstack.settings import LimitSettings, Settings
 from cuminstack.store import DurableFile
 
 Hook = Callable[[], None]
@@ -32,6 +34,9 @@
 _MS_PER_SECOND: Final = 1000
 _NS_PER_MS: Final = 1_000_000
 
+#: Longest wait for the responses to the last requests at shutdown, in seconds.
+_SHUTDOWN_TIMEOUT_SECONDS: Final = 60
+
 #: Time allowed at shutdown to send and log the last outcomes, in seconds.
 _FLUSH_SECONDS: Final = 0.2
 
@@ -49,7 +54,7 @@
         self._output = output
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
-        self._listeners = Listeners(MachineLimits(), ConnectionOptions())
+        self._listeners = _make_listeners(settings.limits)
         self._on_ready: list[Hook] = []
         self._on_drain: list[Hook] = []
 
@@ -149,19 +154,23 @@
         self.on_drain(driver.drain)
         self._run_in_background(callers.run())
         listen = self._settings.listen
-        await self._serve(endpoints.application(), listen.endpoints)
-        await self._serve(callers.application(), listen.callers)
-
-    async def _serve(
-        self,
-        application: web.Application,
-        address: Address,
-    ) -> None:
-        runner = web.AppRunner(application, access_log=None)
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, address.host, address.port)
-        await site.start()
+        for runner in (
+            await self._listeners.start(
+                'endpoints',
+                endpoints.application(),
+                listen.endpoints,
+                share=ENDPOINTS,
+                shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+            ),
+            await self._listeners.start(
+                'callers',
+                callers.application(),
+                listen.callers,
+                share=CALLERS,
+                shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+            ),
+        ):
+            self._stack.push_async_callback(runner.cleanup)
 
     async def _drain(self, driver: Driver) -> None:
         """Wait up to `drain_seconds` for the jobs in progress to end.
@@ -180,6 +189,20 @@
         self._stack.push_async_callback(_cancel, running)
 
 
+def _make_listeners(limits: LimitSettings) -> Listeners:
+    allowed = process_descriptors()
+    machine = MachineLimits(
+        memory_mb=limits.memory_mb or physical_memory_mb(),
+        descriptors=min(limits.max_descriptors or allowed, allowed),
+    )
+    options = ConnectionOptions(
+        header_bytes=limits.max_header_bytes,
+        header_seconds=limits.header_timeout_ms / _MS_PER_SECOND,
+        body_seconds=limits.body_timeout_ms / _MS_PER_SECOND,
+    )
+    return Listeners(machine, options)
+
+
 def _run_hooks(hooks: Iterable[Hook]) -> None:
     for hook in hooks:
         hook()
--- a/src/cuminstack/listeners/__init__.py
+++ b/src/cuminstack/listeners/__init__.py
@@ -15,6 +15,10 @@
 )
 from cuminstack.listeners._listener import Listener, accept
 from cuminstack.listeners._listeners import Listeners
+from cuminstack.listeners._machine import (
+    physical_memory_mb,
+    process_descriptors,
+)
 from cuminstack.listeners._refusals import forget_frames
 
 __all__ = (
@@ -34,4 +38,6 @@
     'accept',
     'body_cost',
     'forget_frames',
+    'physical_memory_mb',
+    'process_descriptors',
 )
--- a/src/cuminstack/platform/_settings.py
+++ b/src/cuminstack/platform/_settings.py
@@ -1,6 +1,5 @@
 """Reads and validates the settings file of a process."""
 
-import resource
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -9,7 +8,7 @@
 import msgspec
 
 from cuminstack.core import InstanceId, ZoneName
-from cuminstack.listeners import MachineLimits
+from cuminstack.listeners import MachineLimits, process_descriptors
 from cuminstack.roles import RoleSettings
 from cuminstack.settings import Address, NotReadable
 
@@ -160,7 +159,7 @@
         grace_seconds=decoded.bounds.grace_s,
         machine=MachineLimits(
             memory_mb=decoded.limits.memory_mb,
-            descriptors=min(decoded.limits.max_fds, _process_descriptors()),
+            descriptors=min(decoded.limits.max_fds, process_descriptors()),
         ),
     )
 
@@ -182,12 +181,6 @@
     return frozenset(ZoneName(name) for name in names if isinstance(name, str))
 
 
-def _process_descriptors() -> int:
-    """Return how many descriptors the system allows this process."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return _MAX_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
-
-
 def _peer_address(seed: str, port: int) -> InstanceId:
     """Return the peer address of a seed.
 
--- a/src/cuminstack/settings/_consistency.py
+++ b/src/cuminstack/settings/_consistency.py
@@ -2,11 +2,18 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, Final
 
 from cuminstack.settings._faults import Inconsistent
 from cuminstack.settings._model import PeerSettings, Settings
 
+_MEBIBYTE: Final = 1_048_576
+#: Memory of the process, as a multiple of the largest body of a caller and of
+#: the largest sheet, so that one of them is served: it takes three times its
+#: size of the part that callers, or endpoints and operators, have.
+_BODY_FACTOR: Final = 17
+_SHEET_FACTOR: Final = 25
+
 _Check = Callable[[Settings], Iterator[Inconsistent]]
 _registered_checks: list[_Check] = []
 
@@ -57,6 +64,19 @@
             yield _fault('limits', low, f'at most {high}', found)
 
 
+@_check
+def _check_memory(settings: Settings) -> Iterator[Inconsistent]:
+    limits = settings.limits
+    needed = max(
+        _BODY_FACTOR * limits.max_body_bytes,
+        _SHEET_FACTOR * limits.max_sheet_bytes,
+    )
+    least = -(-needed // _MEBIBYTE)
+    if 0 < limits.memory_mb < least:
+        expected = f'at least {least}, for max_body_bytes and max_sheet_bytes'
+        yield _fault('limits', 'memory_mb', expected, limits.memory_mb)
+
+
 @_check
 def _check_reachable_addresses(settings: Settings) -> Iterator[Inconsistent]:
     # These addresses are sent to endpoints and peers.  The address for callers
--- a/src/cuminstack/settings/_model.py
+++ b/src/cuminstack/settings/_model.py
@@ -119,6 +119,16 @@
             of the claim replicas.
         sheet_timeout_ms: Longest time that a sheet submitted by an operator
             waits for a majority of the configuration replicas.
+        memory_mb: Memory that this process may use, in mebibytes; 0 for that
+            of the machine.  Clients get parts of it.
+        max_descriptors: Most files and connections that are open at the same
+            time; 0 for what the system allows this process, never more.
+        max_header_bytes: Largest header section of a request, together with
+            empty lines before it.
+        header_timeout_ms: Longest time for a header section, or for the first
+            message of another instance.
+        body_timeout_ms: Longest time without progress of a body, of a message
+            or of a response that the client doesn't read.
     """
 
     max_body_bytes: Annotated[int, (1024, 268_435_456)] = 8_388_608
@@ -136,6 +146,11 @@
     outcome_lifetime_seconds: Annotated[float, (1, 86_400)] = 600
     claim_timeout_ms: Annotated[int, (1, 60_000)] = 500
     sheet_timeout_ms: Annotated[int, (1, 60_000)] = 3000
+    memory_mb: Annotated[int, (0, 1_048_576)] = 0
+    max_descriptors: Annotated[int, (0, 1_048_576)] = 0
+    max_header_bytes: Annotated[int, (8192, 1_048_576)] = 65_536
+    header_timeout_ms: Annotated[int, (100, 3_600_000)] = 5000
+    body_timeout_ms: Annotated[int, (100, 3_600_000)] = 20_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/processes/hostile_targets.py
+++ b/tests/processes/hostile_targets.py
@@ -263,7 +263,13 @@
         peers='127.0.0.4:9',
         replica=False,
     )
-    path = write_settings(plan, (plan, peer), folder=folder, extra={})
+    extra = {
+        'limits': {
+            'memory_mb': str(MEMORY_MB),
+            'max_descriptors': str(MAX_FDS),
+        },
+    }
+    path = write_settings(plan, (plan, peer), folder=folder, extra=extra)
     targets = {
         'callers': Target(
             callers,
