Refuse messages of too many items before they are decoded

What was seen: one client that sends one message of 6 MB of empty maps made each of the three programs grow to 495 or 496 MiB.

Cause: an empty map takes a byte in a frame and 72 in memory.

Change: the items of a frame that might exceed the memory are counted before it is decoded. Frames of less than a 72nd of the memory, 291 KB on the smallest machine, aren't examined.

--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -29,6 +29,10 @@
 #: Largest number of frames queued for a link; the oldest are dropped.
 _MAX_QUEUED_FRAMES: Final = 20_000
 
+#: Memory of an empty map in a list, the data item that takes most for its
+#: size in a frame.
+_ITEM_BYTES: Final = 72
+
 #: Default time-out for opening a link, in seconds.
 _OPEN_SECONDS: Final = 2.0
 
@@ -210,6 +214,7 @@
         self._reject = reject
         self._listeners = listeners
         self._server: Server | None = None
+        self._max_items = 0
 
     async def start(self, address: Address) -> None:
         """Listen at an address until `stop` is called.
@@ -218,6 +223,7 @@
             OSError: The address can't be listened on.
         """
         listener = self._listeners.add('peers', LINKS)
+        self._max_items = listener.limits.memory_bytes // _ITEM_BYTES
         self._server = await accept(
             address,
             partial(
@@ -256,7 +262,8 @@
             if link.peer is None:
                 link.identify(self._identify(frame))
             else:
-                self._receive(link.peer, wire.decode(frame))
+                message = wire.decode(frame, max_items=self._max_items)
+                self._receive(link.peer, message)
         except (wire.BadFrame, UnexpectedPeer) as error:
             self._reject(link.peer, error)
             link.refuse(str(error))
--- a/src/cuminstack/wire/_codec.py
+++ b/src/cuminstack/wire/_codec.py
@@ -12,6 +12,8 @@
 import cbor2
 import msgspec
 
+from cuminstack.wire._items import has_more_items
+
 #: Version of the frame layout and of all message bodies.
 PROTOCOL_VERSION: Final = 1
 
@@ -84,14 +86,18 @@
     return cbor2.dumps([PROTOCOL_VERSION, kind_of(body), plain])
 
 
-def decode(frame: bytes) -> Any:
+def decode(frame: bytes, *, max_items: int | None = None) -> Any:
     """Decode a frame to its message.
 
+    Args:
+        frame: The frame.
+        max_items: Largest number of data items; None for any.
+
     Raises:
         BadFrame: The frame is too large or malformed, or has an unknown kind
             or another protocol version.
     """
-    version, kind, body = _split(frame)
+    version, kind, body = _split(frame, max_items)
     if version != PROTOCOL_VERSION:
         raise UnknownVersion(f'version {version!r}')
     body_type = _kinds.get(kind) if isinstance(kind, str) else None
@@ -103,9 +109,8 @@
         raise MalformedFrame(f'{kind}: {error}') from error
 
 
-def _split(frame: bytes) -> list[Any]:
-    if len(frame) > MAX_FRAME_BYTES:
-        raise MalformedFrame(f'{len(frame)} bytes')
+def _split(frame: bytes, max_items: int | None) -> list[Any]:
+    _check_size(frame, max_items)
     try:
         parts = cbor2.loads(frame)
     except (cbor2.CBORError, ValueError, RecursionError) as error:
@@ -113,3 +118,10 @@
     if not isinstance(parts, list) or len(parts) != _FRAME_PARTS:
         raise MalformedFrame('not [version, kind, body]')
     return parts
+
+
+def _check_size(frame: bytes, max_items: int | None) -> None:
+    if len(frame) > MAX_FRAME_BYTES:
+        raise MalformedFrame(f'{len(frame)} bytes')
+    if max_items is not None and has_more_items(frame, max_items):
+        raise MalformedFrame(f'more than {max_items} items')
--- a/tests/processes/hostile_peers.py
+++ b/tests/processes/hostile_peers.py
@@ -131,6 +131,7 @@
         'empty fragments': Attack(empty_fragments, 60),
         'empty messages': Attack(empty_messages, 60),
         'expanding messages': Attack(expanding_messages, 60),
+        'dense message': Attack(dense_messages, 1),
         'dense messages': Attack(dense_messages, 3),
         'unread pongs': Attack(unread_pongs, 60),
     },
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 
 from cuminstack import wire
 from cuminstack.core import JobId, JobKey, MemberName, TaskId
+from cuminstack.wire._items import has_more_items
 
 
 @wire.message('test.sample')
@@ -54,3 +55,43 @@
     ) -> None:
         with pytest.raises(error):
             wire.decode(frame)
+
+
+class TestItems:
+    """Frames of many data items."""
+
+    # Guards against a frame that takes 72 times its size when it is decoded.
+    def test_too_many_items(self) -> None:
+        frame = cbor2.dumps([1, 'link.hello', [{} for _ in range(1000)]])
+        with pytest.raises(wire.MalformedFrame, match='100 items'):
+            wire.decode(frame, max_items=100)
+
+    @pytest.mark.parametrize(
+        'document',
+        [
+            b'a' * 70_000,
+            'ü' * 300,
+            [1, -70_000, 2**40, 1.5, None, True],
+            {'a': [{}, []], 'b': {'c': b''}},
+            cbor2.CBORTag(4000, 'a'),
+        ],
+    )
+    def test_items_are_counted(self, document: object) -> None:
+        encoded = cbor2.dumps([document])
+        count = _count_items(document) + 1
+        # Padding, as short documents are not examined.
+        padded = encoded + cbor2.dumps(b'a' * 100)
+        assert not has_more_items(padded, count + 1)
+        assert has_more_items(padded, count)
+
+
+def _count_items(document: object) -> int:
+    if isinstance(document, dict):
+        children = [*document, *document.values()]
+    elif isinstance(document, list):
+        children = document
+    elif isinstance(document, cbor2.CBORTag):
+        children = [document.value]
+    else:
+        children = []
+    return 1 + sum(map(_count_items, children))
