Count the tasks of a job before they are decoded

What was seen: with the limits on its listeners, cuminstackd still grew to 170 MiB with 20 clients that send 8 MiB of the smallest tasks, 404 MiB at the endpoints' port without them.

Cause: all tasks of a body were decoded before their number was checked.

Change: a body that may hold more than max_tasks is decoded to raw tasks first.

--- a/src/cuminstack/daemon/_bodies.py
+++ b/src/cuminstack/daemon/_bodies.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import secrets
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Annotated, Final, TypeVar
@@ -76,6 +77,13 @@
     deadline_ms: _Duration | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class JobOutline:
+    """A job whose tasks are not decoded, which take far less memory so."""
+
+    tasks: list[msgspec.Raw]
+
+
 @dataclass(frozen=True, slots=True)
 class ServedBody:
     """One service whose tasks an endpoint runs."""
@@ -99,7 +107,11 @@
     busy: _Count = 0
 
 
+#: Size of the shortest task, with a comma.
+_MIN_TASK_BYTES: Final = len('{"payload":0},')
+
 _job_decoder = msgspec.json.Decoder(JobBody)
+_outline_decoder = msgspec.json.Decoder(JobOutline)
 _announcement_decoder = msgspec.json.Decoder(AnnouncementBody)
 
 
@@ -130,6 +142,8 @@
     _check_name('service', service.service)
     if key is not None and not is_name(key):
         raise _unprocessable('names consist of letters', KEY_HEADER)
+    if len(raw) > _MIN_TASK_BYTES * limits.max_tasks:
+        _check_number(_decode(_outline_decoder, raw).tasks, limits)
     body = _decode(_job_decoder, raw)
     if key is None and not body.idempotent:
         raise _unprocessable('required where idempotent is false', KEY_HEADER)
@@ -204,8 +218,7 @@
 def _check_tasks(body: JobBody, limits: LimitSettings) -> None:
     if not body.tasks:
         raise _unprocessable('at least one task', 'tasks')
-    if len(body.tasks) > limits.max_tasks:
-        raise _too_large(f'at most {limits.max_tasks} tasks', 'tasks')
+    _check_number(body.tasks, limits)
     for index, task in enumerate(body.tasks):
         if len(bytes(task.payload)) > limits.max_payload_bytes:
             raise _too_large(
@@ -214,6 +227,11 @@
             )
 
 
+def _check_number(tasks: Sequence[object], limits: LimitSettings) -> None:
+    if len(tasks) > limits.max_tasks:
+        raise _too_large(f'at most {limits.max_tasks} tasks', 'tasks')
+
+
 def _check_name(field_name: str, text: str) -> None:
     if not is_name(text):
         raise _unprocessable(
