Answer refusals of cuminstackd with problem documents

What callers saw: a request that the limits refuse got an empty response, although PROTOCOL.md promises a problem that says whether a task was started.

Cause: the refusals were written for the platform, whose protocol has none.

Change: a listener is told the content of its refusals.

Result: test_refusal_is_a_problem gets 431 with not_run.

--- a/src/cuminstack/daemon/_application.py
+++ b/src/cuminstack/daemon/_application.py
@@ -12,6 +12,7 @@
 from cuminstack.daemon._driver import Driver, log_rejected
 from cuminstack.daemon._endpoints import EndpointInterface
 from cuminstack.daemon._observer import Observer
+from cuminstack.daemon._problems import describe_refusal
 from cuminstack.daemon._sender import TaskSender
 from cuminstack.daemon._sheets import SheetCoordinator
 from cuminstack.daemon._views import Views
@@ -161,6 +162,7 @@
                 listen.endpoints,
                 share=ENDPOINTS,
                 shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+                describe=describe_refusal,
             ),
             await self._listeners.start(
                 'callers',
@@ -168,6 +170,7 @@
                 listen.callers,
                 share=CALLERS,
                 shutdown_timeout_seconds=_SHUTDOWN_TIMEOUT_SECONDS,
+                describe=describe_refusal,
             ),
         ):
             self._stack.push_async_callback(runner.cleanup)
--- a/src/cuminstack/daemon/_problems.py
+++ b/src/cuminstack/daemon/_problems.py
@@ -18,6 +18,7 @@
     RefusalReason,
     Refused,
 )
+from cuminstack.listeners import RefusalBody
 
 PROBLEM_TYPE: Final = 'application/problem+json'
 JSON_TYPE: Final = 'application/json'
@@ -46,6 +47,15 @@
     }
 )
 
+#: Problems of requests that the limits on connections end.
+_UNHANDLED_NAMES: Final = MappingProxyType(
+    {
+        HTTPStatus.BAD_REQUEST: 'bad-request',
+        HTTPStatus.REQUEST_TIMEOUT: 'request-timeout',
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: 'header-too-large',
+    }
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Problem:
@@ -123,6 +133,13 @@
     )
 
 
+def describe_refusal(status: HTTPStatus) -> RefusalBody:
+    """Return the problem document for a request that was not handled."""
+    name = _UNHANDLED_NAMES.get(status, RefusalReason.overloaded.value)
+    problem = make_problem(name, status)
+    return RefusalBody(msgspec.json.encode(problem), PROBLEM_TYPE)
+
+
 def outcome_response(job: JobId, outcome: Outcome) -> web.Response:
     """Build the response for the outcome of a job."""
     if isinstance(outcome, Complete):
--- a/src/cuminstack/listeners/__init__.py
+++ b/src/cuminstack/listeners/__init__.py
@@ -19,7 +19,7 @@
     physical_memory_mb,
     process_descriptors,
 )
-from cuminstack.listeners._refusals import forget_frames
+from cuminstack.listeners._refusals import RefusalBody, forget_frames
 
 __all__ = (
     'CALLERS',
@@ -34,6 +34,7 @@
     'ListenerShare',
     'Listeners',
     'MachineLimits',
+    'RefusalBody',
     'RequestLimits',
     'accept',
     'body_cost',
--- a/src/cuminstack/listeners/_http.py
+++ b/src/cuminstack/listeners/_http.py
@@ -16,7 +16,9 @@
 from cuminstack.listeners._connections import Cause, body_cost, header_cost
 from cuminstack.listeners._listener import Listener
 from cuminstack.listeners._refusals import (
+    DescribeRefusal,
     forget_frames,
+    no_content,
     refusal,
     without_keepalive,
 )
@@ -49,10 +51,12 @@
     Args:
         server: The server of aiohttp whose requests it handles.
         listener: Listener of the connection.
+        describe: Returns the content of refusals.
     """
 
     __slots__ = (
         '_listener',
+        '_describe',
         '_is_open',
         '_unread',
         '_scanned',
@@ -67,7 +71,12 @@
         '_linger_bytes',
     )
 
-    def __init__(self, server: web.Server, listener: Listener) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        listener: Listener,
+        describe: DescribeRefusal = no_content,
+    ) -> None:
         size = listener.limits.memory_bytes
         super().__init__(
             server,
@@ -81,6 +90,7 @@
             auto_decompress=False,
         )
         self._listener = listener
+        self._describe = describe
         self._is_open = False
         # Received bytes that aren't parsed yet; how many of them contain no
         # end of a header section; and the empty lines skipped before them.
@@ -381,7 +391,7 @@
 
     def _write_refusal(self, cause: Cause) -> None:
         if self.transport is not None:
-            self.transport.write(refusal(cause))
+            self.transport.write(refusal(cause, self._describe))
 
     def _discard(self, size: int) -> None:
         self._linger_bytes -= size
--- a/src/cuminstack/listeners/_listeners.py
+++ b/src/cuminstack/listeners/_listeners.py
@@ -20,6 +20,7 @@
     excess_descriptors,
 )
 from cuminstack.listeners._listener import Listener, accept
+from cuminstack.listeners._refusals import DescribeRefusal, no_content
 from cuminstack.settings import Address
 
 #: Interval of checks for clients that are waited for too long.
@@ -41,19 +42,22 @@
         runner: Runner of the application.
         listener: Limits the connections.
         address: Address that it listens on.
+        describe: Returns the content of refusals.
     """
 
-    __slots__ = ('_listener', '_address')
+    __slots__ = ('_listener', '_address', '_describe')
 
     def __init__(
         self,
         runner: web.AppRunner,
         listener: Listener,
         address: Address,
+        describe: DescribeRefusal,
     ) -> None:
         super().__init__(runner)
         self._listener = listener
         self._address = address
+        self._describe = describe
 
     @property
     def name(self) -> str:
@@ -70,7 +74,7 @@
             self._address,
             partial(
                 listener.loop.create_server,
-                lambda: LimitedConnection(server, listener),
+                lambda: LimitedConnection(server, listener, self._describe),
             ),
         )
 
@@ -145,6 +149,7 @@
         cancel_on_disconnect: bool = False,
         shutdown_timeout_seconds: float,
         required: Callable[[], RequestLimits] = _no_requirements,
+        describe: DescribeRefusal = no_content,
     ) -> web.AppRunner:
         """Start an HTTP listener.
 
@@ -158,6 +163,7 @@
             shutdown_timeout_seconds: Longest wait for requests in progress
                 when the listener closes; it may wait twice as long in total.
             required: Returns what the desired state allows requests.
+            describe: Returns the content of refusals.
 
         Returns:
             The runner, whose `cleanup` closes the listener.
@@ -173,7 +179,7 @@
         )
         await runner.setup()
         listener = self.add(name, share, required)
-        await LimitedSite(runner, listener, address).start()
+        await LimitedSite(runner, listener, address, describe).start()
         return runner
 
     def stop(self) -> None:
--- a/src/cuminstack/listeners/_refusals.py
+++ b/src/cuminstack/listeners/_refusals.py
@@ -1,5 +1,7 @@
 """Responses and requests that end a connection."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -36,17 +38,42 @@
     )
 
 
-def refusal(cause: Cause) -> bytes:
+@dataclass(frozen=True, slots=True)
+class RefusalBody:
+    """Content of a refusal.
+
+    Args:
+        content: The content, in bytes.
+        media_type: Its media type; empty for none.
+    """
+
+    content: bytes = b''
+    media_type: str = ''
+
+
+#: Returns the content of refusals with a status.
+DescribeRefusal = Callable[[HTTPStatus], RefusalBody]
+
+
+def no_content(status: HTTPStatus) -> RefusalBody:
+    """Return an empty content."""
+    return RefusalBody()
+
+
+def refusal(cause: Cause, describe: DescribeRefusal) -> bytes:
     """Return the response to a request that was not handled."""
     status = _REFUSALS.get(cause, HTTPStatus.SERVICE_UNAVAILABLE)
+    body = describe(status)
     lines = [
         f'HTTP/1.1 {status.value} {status.phrase}',
-        'Content-Length: 0',
+        f'Content-Length: {len(body.content)}',
         'Connection: close',
     ]
+    if body.media_type:
+        lines.append(f'Content-Type: {body.media_type}')
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
         lines.append(_RETRY_AFTER)
-    return '\r\n'.join((*lines, '', '')).encode()
+    return '\r\n'.join((*lines, '', '')).encode() + body.content
 
 
 def forget_frames(error: object) -> None:
--- a/tests/processes/test_malformed.py
+++ b/tests/processes/test_malformed.py
@@ -288,3 +288,21 @@
         assert status in {400, 422}
         async with harness.http.get(f'{url}/v1/sheet') as response:
             assert (await response.text()).startswith('sheet,1,0')
+
+
+class TestUnhandled:
+    """Requests that are refused before a handler has them."""
+
+    # Guards against a refusal that leaves open whether the job was run.
+    async def test_refusal_is_a_problem(
+        self, harness: DeploymentHarness
+    ) -> None:
+        status, problem = await request_problem(
+            harness,
+            'POST',
+            f'{harness.url(0)}{JOBS}',
+            job(),
+            headers={'X-Large': 'a' * 70_000},
+        )
+        assert status == problem['status'] == 431
+        assert problem['not_run'] is True
