Test the limits of links, trailers and settings

Cause: the cases with real processes don't tell which limit cut a client off.

Change: a test of each limit of a link, of trailers and malformed chunks, and of a memory_mb that contradicts the largest body.

--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -186,6 +186,10 @@
     )
 
 
+def with_trailers(trailers: bytes) -> bytes:
+    return b'%s%s' % (CHUNKED.removesuffix(b'\r\n'), trailers)
+
+
 def bytewise(text: bytes) -> Iterable[bytes]:
     return (text[number : number + 1] for number in range(len(text)))
 
@@ -229,6 +233,13 @@
             for parts in ([CHUNKED], bytewise(CHUNKED)):
                 assert await harness.send(*parts) == [b'200 /a 16 5']
 
+    async def test_trailers_are_discarded(self) -> None:
+        harness = make_harness()
+        request = with_trailers(b'X: y\r\nZ: a\r\n\r\n')
+        async with harness.run():
+            for parts in ([request], bytewise(request)):
+                assert await harness.send(*parts) == [b'200 /a 16 5']
+
     # Guards against the parser's own limits: 8,190 bytes and 128 fields.
     async def test_header_within_the_limit(self) -> None:
         harness = make_harness(required=RequestLimits(header_bytes=200_000))
@@ -325,6 +336,20 @@
             assert await harness.send(request_start) == [b'431 ']
             assert harness.listeners.closed == {'front_large_header': 1}
 
+    # Guards against trailers, of which the parser would keep each field.
+    async def test_large_trailers(self) -> None:
+        harness = make_harness()
+        request = with_trailers(b'a:\r\n' * 20_000)
+        async with harness.run():
+            assert await harness.send(request) == [b'431 ']
+
+    @pytest.mark.parametrize('size', [b'x', b'', b'1;' + b'a' * 5000])
+    async def test_malformed_chunk(self, size: bytes) -> None:
+        harness = make_harness()
+        request = CHUNKED.replace(b'0\r\n\r\n', b'%s\r\n' % size)
+        async with harness.run():
+            assert await harness.send(request) == [b'400 ']
+
     # Guards against a process that is busy with log lines of refusals.
     async def test_log_rate(self, monkeypatch: pytest.MonkeyPatch) -> None:
         lines: list[int] = []
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,7 +9,7 @@
 import pytest
 from bench._polling import until
 from bench._ports import LOOPBACK, free_ports
-from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.client import ClientConnection, connect
 
 from cuminstack import wire
 from cuminstack.core import InstanceId, JobKey
@@ -133,3 +133,76 @@
             reset(cast(ClientConnection, writer))
             with pytest.raises(ConnectionResetError):
                 await reader.read()
+
+
+class _Peer:
+    """A client of a listener for peers, and what the listener delivers."""
+
+    def __init__(self) -> None:
+        self.received: list[Any] = []
+        self.address = Address(LOOPBACK, *free_ports(1))
+        self.listeners = Listeners(
+            MachineLimits(memory_mb=160, descriptors=400),
+            ConnectionOptions(header_seconds=0.3),
+        )
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator[ClientConnection]:
+        listener = PeerListener(
+            None,
+            receive=lambda _, message: self.received.append(message),
+            reject=lambda *_: None,
+            listeners=self.listeners,
+        )
+        await listener.start(self.address)
+        try:
+            async with connect(f'ws://{self.address}', proxy=None) as link:
+                yield link
+        finally:
+            await listener.stop()
+            self.listeners.stop()
+
+    async def wait_closed(self, link: ClientConnection, cause: str) -> None:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await link.wait_closed()
+        assert self.listeners.closed == {f'peers_{cause}': 1}
+
+
+class TestLimits:
+    """Clients of the listener for peers exceed its limits."""
+
+    # Guards against connections that stay open without an instance behind.
+    async def test_no_first_message(self) -> None:
+        peer = _Peer()
+        async with peer.run() as link:
+            await peer.wait_closed(link, 'slow_header')
+
+    # Guards against messages that are kept in memory until they are complete.
+    async def test_fragments(self) -> None:
+        peer = _Peer()
+        async with peer.run() as link:
+            await link.send(wire.encode(Hello(OWN, 1)))
+            await link.send([b'a', b'b'])
+            await peer.wait_closed(link, 'malformed')
+
+    async def test_message_larger_than_memory(self) -> None:
+        peer = _Peer()
+        async with peer.run() as link:
+            await link.send(wire.encode(Hello(OWN, 1)))
+            await link.send(bytes(7 * MEGABYTE))
+            await peer.wait_closed(link, 'malformed')
+
+    # Guards against a limit that the desired state of a deployment meets.
+    async def test_large_message(self) -> None:
+        peer = _Peer()
+        message = Hello(InstanceId('a' * 6 * MEGABYTE), 1)
+
+        async def is_received() -> bool:
+            return peer.received == [message]
+
+        async with peer.run() as link:
+            await link.send(wire.encode(Hello(OWN, 1)))
+            await link.send(wire.encode(message))
+            await until(is_received, seconds=TIMEOUT_SECONDS)
+        assert peer.listeners.used_bytes == {'peers': 0}
+        assert not peer.listeners.closed
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -122,6 +122,7 @@
             ('[timeouts]\nsuspect_ms = 500\n', 'suspect_ms'),
             ('[timeouts]\nendpoint_lease_ms = 1000\n', 'endpoint_lease_ms'),
             ('[limits]\nmax_body_bytes = 2048\n', 'max_payload_bytes'),
+            ('[limits]\nmemory_mb = 135\n', 'memory_mb'),
             ('[listen]\npeers = 0.0.0.0:8003\n', 'peers'),
             ('[listen]\npeers = 127.0.0.1:8002\n', 'peers'),
             ('[peers]\nb = 127.0.0.1:1 z 127.0.0.1:2\n', ''),
