Let incomplete messages make room for compressed ones

Cause: a compressed message was refused while incomplete messages of others used up the memory, so a client that sends a byte now and then could keep links from working. A ping was refused, too.

Change: it may expand to what the listener has, less what expanded in the same read, and then the longest awaited clients are closed, as for requests.

--- a/src/cuminstack/links/_accepted.py
+++ b/src/cuminstack/links/_accepted.py
@@ -56,6 +56,8 @@
         self._is_open = False
         self._is_refused = False
         self._handshake_bytes = 0
+        # Size of the compressed messages among what was received at once.
+        self._expanded_bytes = 0
         # Cuts the connection if the peer doesn't identify itself in time.
         self._timer: asyncio.TimerHandle | None = None
 
@@ -72,14 +74,17 @@
 
     @property
     def free_bytes(self) -> int:
-        """Size of the messages for which there is memory."""
-        free = self._listener.limits.memory_bytes
-        free -= self._listener.table.used_bytes
-        return free // body_cost(1)
+        """Size that messages received at once may still expand to.
+
+        Clients whose messages are incomplete make room for them.
+        """
+        memory = self._listener.limits.memory_bytes
+        return memory // body_cost(1) - self._expanded_bytes
 
     def use_memory(self, size: int) -> None:
         """Add the size of a message that is about to be handled."""
-        self._listener.table.use_memory(self, body_cost(size))
+        self._expanded_bytes += size
+        self._listener.use_memory(self, body_cost(size))
 
     def identify(self, peer: InstanceId) -> None:
         """Record which instance is at the other end."""
@@ -164,6 +169,7 @@
         if self._handshake_bytes > self._listener.limits.header_bytes:
             self.cut(Cause.large_header)
             return
+        self._expanded_bytes = 0
         super().data_received(data)
         if self.transport.is_closing():
             return
--- a/src/cuminstack/links/_deflate.py
+++ b/src/cuminstack/links/_deflate.py
@@ -72,7 +72,7 @@
 
     @property
     def free_bytes(self) -> int:
-        """Size of the messages for which there is memory."""
+        """Size that messages received at once may still expand to."""
 
     def use_memory(self, size: int) -> None:
         """Add the size of a message that is about to be handled."""
@@ -98,6 +98,8 @@
         Raises:
             PayloadTooBig: The content exceeds the budget or `max_size`.
         """
+        if not frame.rsv1 and not self.decode_cont_data:
+            return super().decode(frame, max_size=max_size)
         free = self._budget.free_bytes
         if max_size is not None:
             free = min(free, max_size)
@@ -105,8 +107,7 @@
         if free <= 0:
             raise PayloadTooBig(None, free)
         decoded = super().decode(frame, max_size=free)
-        if decoded is not frame:
-            self._budget.use_memory(len(decoded.data))
+        self._budget.use_memory(len(decoded.data))
         return decoded
 
 
