Remove a closing link that is chosen for its room

What was seen: in two runs of the cases of the peers' port an entry answered nothing more and used a core; one of them went on so for 35 minutes.

Cause: a full listener closes a connection and looks again until there is room. A link that was closing already stayed in the table until its end was processed, which the loop without end prevented.

Change: a link that is cut leaves the table in any case.

Result: test_closing_link_makes_room fails before and passes after; all 75 cases of the peers' port pass.

--- a/src/cuminstack/links/_accepted.py
+++ b/src/cuminstack/links/_accepted.py
@@ -103,11 +103,11 @@
 
     def cut(self, cause: Cause) -> None:
         """Close the connection at once."""
-        if not self._is_open or self.transport.is_closing():
-            return
-        self._listener.report(cause, self.remote_address)
+        # Also one that is closing already: the listener waits for the room.
         self._listener.remove(self)
-        self.transport.abort()
+        if self._is_open and not self.transport.is_closing():
+            self._listener.report(cause, self.remote_address)
+            self.transport.abort()
 
     def expire(self, cause: Cause) -> None:
         """Handle that the client was waited for too long."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -14,9 +14,11 @@
 from cuminstack import wire
 from cuminstack.core import InstanceId, JobKey
 from cuminstack.fleet import EntryBeat
+from cuminstack.links._accepted import AcceptedLink
 from cuminstack.links._keepalive import reset
 from cuminstack.links._links import Hello, PeerLink, PeerListener
 from cuminstack.listeners import (
+    Cause,
     ConnectionOptions,
     Listeners,
     MachineLimits,
@@ -177,6 +179,18 @@
         async with peer.run() as link:
             await peer.wait_closed(link, 'slow_header')
 
+    # Guards against a listener that looks for room without end, as a link that
+    # is closing is chosen again and again.
+    async def test_closing_link_makes_room(self) -> None:
+        peer = _Peer()
+        async with peer.run():
+            table = peer.listeners._listeners[0].table
+            accepted = next(iter(table._connections))
+            assert isinstance(accepted, AcceptedLink)
+            accepted.transport.close()
+            accepted.cut(Cause.idle)
+            assert not table.connections
+
     # Guards against messages that are kept in memory until they are complete.
     async def test_fragments(self) -> None:
         peer = _Peer()
