Count the items of a first message, too

What was seen: three clients whose first message, a compressed one, expands to 3 MB of empty maps made each of the three programs grow to 682 to 687 MiB.

Cause: the items were only counted once a link was identified.

Change: they are counted for every message.

Result: the three cases fail before and pass after.

--- a/src/cuminstack/links/_accepted.py
+++ b/src/cuminstack/links/_accepted.py
@@ -222,8 +222,7 @@
         """Close the connection once what it has written is sent."""
         if self.protocol.parser_exc is not None or self._is_refused:
             self._listener.report(Cause.malformed, self.remote_address)
-        # They would keep a message that expanded to more than there is room
-        # for.
+        # The frames of its traceback hold what a message was expanded to.
         forget_frames(self.protocol.parser_exc)
         self._listener.remove(self)
         self.transport.close()
--- a/src/cuminstack/links/_links.py
+++ b/src/cuminstack/links/_links.py
@@ -259,17 +259,16 @@
 
     def _handle(self, link: AcceptedLink, frame: bytes) -> None:
         try:
+            message = wire.decode(frame, max_items=self._max_items)
             if link.peer is None:
-                link.identify(self._identify(frame))
+                link.identify(self._identify(message))
             else:
-                message = wire.decode(frame, max_items=self._max_items)
                 self._receive(link.peer, message)
         except (wire.BadFrame, UnexpectedPeer) as error:
             self._reject(link.peer, error)
             link.refuse(str(error))
 
-    def _identify(self, frame: bytes) -> InstanceId:
-        hello = wire.decode(frame)
+    def _identify(self, hello: Any) -> InstanceId:
         if not isinstance(hello, Hello):
             raise UnexpectedPeer(repr(hello))
         if self._allowed is None or hello.instance in self._allowed:
--- a/tests/processes/hostile_peers.py
+++ b/tests/processes/hostile_peers.py
@@ -53,6 +53,13 @@
     return _frame_header(first, len(payload)) + payload
 
 
+def _compress(message: bytes) -> bytes:
+    compressor = zlib.compressobj(9, wbits=-_WINDOW_BITS)
+    payload = compressor.compress(message)
+    payload += compressor.flush(zlib.Z_SYNC_FLUSH)
+    return payload[:-4]
+
+
 def _open_link(target: Target) -> Payloads:
     yield target.opening + _HANDSHAKE
     yield _frame(_MESSAGE, wire.encode(_HELLO))
@@ -99,23 +106,31 @@
     """Messages whose compression hides nearly all of their size."""
     yield from _open_link(target)
     message = wire.encode(Hello(InstanceId('a' * _ACCEPTED_BYTES), 1))
-    compressor = zlib.compressobj(9, wbits=-_WINDOW_BITS)
-    payload = compressor.compress(message)
-    payload += compressor.flush(zlib.Z_SYNC_FLUSH)
-    yield from repeat(_frame(_COMPRESSED, payload[:-4]))
+    yield from repeat(_frame(_COMPRESSED, _compress(message)))
 
 
-def dense_messages(target: Target) -> Payloads:
-    """Messages of as many values as fit."""
-    yield from _open_link(target)
-    size = _ACCEPTED_BYTES
+def _make_dense_message(size: int) -> bytes:
     kind = wire.kind_of(_HELLO).encode()
     # An array of a version, a kind and an array of empty maps.
     start = b'\x83\x01%c%s\x9a' % (0x60 | len(kind), kind)
-    message = start + struct.pack('!I', size) + b'\xa0' * size
+    return start + struct.pack('!I', size) + b'\xa0' * size
+
+
+def dense_messages(target: Target) -> Payloads:
+    """Messages of as many values as fit."""
+    yield from _open_link(target)
+    message = _make_dense_message(_ACCEPTED_BYTES)
     yield from repeat(_frame(_MESSAGE, message))
 
 
+def dense_first_message(target: Target) -> Payloads:
+    """Compressed message of many values, before the link is identified."""
+    yield target.opening + _HANDSHAKE
+    # Its frame is as small as that of an ordinary first message.
+    message = _make_dense_message(_ACCEPTED_BYTES // 2)
+    yield _frame(_COMPRESSED, _compress(message))
+
+
 def unread_pongs(target: Target) -> Payloads:
     """Pings without end, whose answers are not read."""
     yield from _open_link(target)
@@ -131,6 +146,7 @@
         'empty fragments': Attack(empty_fragments, 60),
         'empty messages': Attack(empty_messages, 60),
         'expanding messages': Attack(expanding_messages, 60),
+        'dense first message': Attack(dense_first_message, 3),
         'dense message': Attack(dense_messages, 1),
         'dense messages': Attack(dense_messages, 3),
         'unread pongs': Attack(unread_pongs, 60),
