Bound the lines of chunk sizes, and read little of chunks at once

What was seen: 60 clients that sent chunks of a byte without an end kept front, control and both HTTP ports of cuminstackd busy: 18 to 91 descriptors were still open 15 s after they had left, on the untouched code as well, and readiness was lost.

Cause: 64 KiB of such chunks take 45 ms to parse, for each client in turn.

Change: lines of sizes count as trailers as far as they exceed the content, and what isn't known to be content is read 8 KiB at a time.

Result: the cases fail before and pass after. Requests of 16,000 fields are a new case, too, and passed before.

--- a/src/cuminstack/listeners/_chunks.py
+++ b/src/cuminstack/listeners/_chunks.py
@@ -31,12 +31,16 @@
         # the last size on; empty before it.
         self._trailers = b''
         self._is_complete = False
-        self._trailer_bytes = 0
+        self._content_bytes = 0
+        self._other_bytes = 0
 
     @property
-    def trailer_bytes(self) -> int:
-        """Size of the trailers that were discarded."""
-        return self._trailer_bytes
+    def excess_bytes(self) -> int:
+        """Size of trailers and lines of sizes beyond that of the content.
+
+        Chunks of a byte take a hundred times the processor time of large ones.
+        """
+        return self._other_bytes - self._content_bytes
 
     def feed(self, received: bytes) -> bytes:
         """Return received bytes without trailers, nor what follows the body.
@@ -63,6 +67,8 @@
         if match is None:
             raise BadChunk
         size = int(match[1], _HEXADECIMAL)
+        self._content_bytes += size
+        self._other_bytes += len(self._line) + len(_LINE_BREAK)
         self._line.clear()
         if size:
             self._left = size + len(_LINE_BREAK)
@@ -73,7 +79,7 @@
         """Return the end of the body if the trailers are complete."""
         if not trailers or self._is_complete:
             return b''
-        self._trailer_bytes += len(trailers)
+        self._other_bytes += len(trailers)
         trailers = self._trailers + trailers
         self._is_complete = _END_OF_TRAILERS in trailers
         self._trailers = trailers[-len(_END_OF_TRAILERS) :]
--- a/src/cuminstack/listeners/_http.py
+++ b/src/cuminstack/listeners/_http.py
@@ -40,6 +40,9 @@
 #: Longest time for which aiohttp discards the rest of a body that was
 #: answered early.
 _DISCARD_SECONDS: Final = 2.0
+#: Bytes that are read at once unless they are known to be content: 64 KB of
+#: chunks of a byte take 45 ms to parse.
+_SMALL_READ_BYTES: Final = 8192
 #: Bytes that are kept of requests behind one that is in progress: a complete
 #: request of the largest header section and body that are usual.
 _PIPELINED_BYTES: Final = 393_216
@@ -118,7 +121,8 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that asyncio reads into."""
-        return self._listener.read_buffer
+        buffer = self._listener.read_buffer
+        return buffer if self._body_left > 0 else buffer[:_SMALL_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle received bytes."""
@@ -361,15 +365,15 @@
     def _remove_trailers(self, received: bytes) -> bytes:
         """Return a part of a chunked body that is left to parse.
 
-        The connection is cut if the part is malformed or the trailers are too
-        large.
+        The connection is cut if the part is malformed, or trailers or lines of
+        sizes are too large.
         """
         try:
             chunks = self._chunks.feed(received)
         except BadChunk:
             self.cut(Cause.malformed)
             return b''
-        if self._is_too_large(self._chunks.trailer_bytes):
+        if self._is_too_large(self._chunks.excess_bytes):
             self.cut(Cause.large_header)
         return chunks
 
--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -15,6 +15,8 @@
 #: Header field that is allowed by the HTTP parser's default limits.
 _FIELD_BYTES: Final = 7000
 _FIELDS: Final = 100
+#: Fields of four bytes within the default limit of a header section.
+_MANY_FIELDS: Final = 16_000
 #: Body that is within the limit of the desired state (262,144 bytes).
 _BODY_BYTES: Final = 260_000
 #: Body that is within the limit on desired states.
@@ -133,6 +135,18 @@
     yield from repeat(b'1b58\r\n%s\r\n' % (b'a' * _FIELD_BYTES))
 
 
+def small_chunks(target: Target) -> Payloads:
+    """Body without end in chunks of one byte."""
+    yield target.upload_opening
+    yield b'Transfer-Encoding: chunked\r\n\r\n'
+    yield from repeat(b'1\r\na\r\n' * _FIELD_BYTES)
+
+
+def many_fields(target: Target) -> Payloads:
+    """Complete requests of as many header fields as fit."""
+    return repeat(b'%s%s\r\n' % (target.opening, b'a:\r\n' * _MANY_FIELDS))
+
+
 def endless_trailers(target: Target) -> Payloads:
     """Chunked body with trailer fields without end."""
     yield target.upload_opening
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -43,6 +43,8 @@
         'pipelined': Attack(clients.pipelined, 20),
         'unfinished bodies': Attack(clients.unfinished_bodies, 500),
         'endless bodies': Attack(clients.endless_bodies, 60),
+        'small chunks': Attack(clients.small_chunks, 60),
+        'many fields': Attack(clients.many_fields, 60),
         'endless trailers': Attack(clients.endless_trailers, 60),
         'upgraded': Attack(clients.upgraded, 60),
         'dense bodies': Attack(clients.dense_bodies, 20),
