Give the measured time of small chunks

Cause: a comment and the design gave estimates as figures.

Change: the measured ones; no code changes.

Result: 64 KiB of chunks of a byte are filtered and parsed in 37 ms, one large chunk in 0.01 ms (medians of 15).

--- a/src/cuminstack/listeners/_chunks.py
+++ b/src/cuminstack/listeners/_chunks.py
@@ -38,7 +38,7 @@
     def excess_bytes(self) -> int:
         """Size of trailers and lines of sizes beyond that of the content.
 
-        Chunks of a byte take a hundred times the processor time of large ones.
+        Chunks of a byte take far more processor time than large ones.
         """
         return self._other_bytes - self._content_bytes
 
--- a/src/cuminstack/listeners/_http.py
+++ b/src/cuminstack/listeners/_http.py
@@ -41,7 +41,7 @@
 #: answered early.
 _DISCARD_SECONDS: Final = 2.0
 #: Bytes that are read at once unless they are known to be content: 64 KB of
-#: chunks of a byte take 45 ms to parse.
+#: chunks of a byte take 37 ms to parse.
 _SMALL_READ_BYTES: Final = 8192
 #: Bytes that are kept of requests behind one that is in progress: a complete
 #: request of the largest header section and body that are usual.
